A claim is an attempt, not a process: soak found second starts

Cause: replicas give a vote again to the holder that has it, and a holder was a process life. A process that was done with a key, and whose replicas had not yet learned that the outcome was decided, got its own votes for a resubmission and started the tasks again. Ruled out: lost memory and cuts; the trace of key k956 shows all replicas alive. Change: holder = process and attempt number; late votes for an earlier attempt do not count, which also replaces the check for keys given up before. New: the soak itself, tests of votes and of settling. Conclusion: votes must name what they allow, one try at starting the tasks.

--- a/crates/celerywinch/src/commands/mod.rs
+++ b/crates/celerywinch/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The commands, one file each, and the registry that lists them.
 
 mod check;
+mod soak;
 mod try_it;
 
 use crate::ExitStatus;
@@ -16,7 +17,7 @@
 }
 
 /// All commands.
-pub const COMMANDS: &[Command] = &[check::COMMAND, try_it::COMMAND];
+pub const COMMANDS: &[Command] = &[check::COMMAND, try_it::COMMAND, soak::COMMAND];
 
 /// Runs the command that the arguments name.
 #[must_use]
@@ -66,3 +67,14 @@
     }
     Ok(Some(matches))
 }
+
+/// The value of a numeric option.
+fn number(matches: &getopts::Matches, name: &str) -> anyhow::Result<Option<u64>> {
+    let Some(text) = matches.opt_str(name) else {
+        return Ok(None);
+    };
+    match text.parse() {
+        Ok(value) => Ok(Some(value)),
+        Err(_) => anyhow::bail!("`--{name}`: found {text:?}, wanted a whole number"),
+    }
+}
--- a/crates/celerywinch_bench/src/lib.rs
+++ b/crates/celerywinch_bench/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod cluster;
 pub mod deployment;
+pub mod soak;
 pub mod trial;
--- a/crates/celerywinch_claims/src/claim.rs
+++ b/crates/celerywinch_claims/src/claim.rs
@@ -229,7 +229,7 @@
     pub fn decide(self, outcome: Outcome) -> Claim<Deciding> {
         let ballot = Ballot {
             round: 1,
-            proposer: self.state.holder,
+            proposer: self.state.holder.process,
         };
         self.into(Deciding {
             ballot,
@@ -393,7 +393,7 @@
             Some(holder) => Outcome::failure(
                 Ran::Maybe,
                 Step::Claim,
-                &holder.instance,
+                &holder.process.instance,
                 "the entry that held this key is gone; its tasks may have run",
             ),
             None => Outcome::refusal(
--- a/crates/celerywinch_claims/src/replica.rs
+++ b/crates/celerywinch_claims/src/replica.rs
@@ -156,13 +156,6 @@
         }
     }
 
-    /// Whether a holder in this very process gave up its claim on `key`.
-    #[must_use]
-    pub fn gave_up(&self, key: &Key, holder: Holder) -> bool {
-        let record = self.records.get(key);
-        record.is_some_and(|record| record.vote == VoteState::Void(holder))
-    }
-
     /// Promises to accept nothing below `ballot`, and to vote no more on `key`.
     pub fn prepare(&mut self, wall: WallMs, key: &Key, ballot: Ballot) -> Result<Promise, Refused> {
         if self.abstains(wall, key) {
--- /dev/null
+++ b/crates/celerywinch_claims/tests/settling.rs
@@ -0,0 +1,107 @@
+//! What may be said of a key whose holder is gone.
+
+use std::sync::Arc;
+
+use celerywinch_claims::{Group, Promise, Promises};
+use celerywinch_types::{
+    Ballot, Holder, Incarnation, InstanceId, Outcome, Process, Ran, RefusalReason, Step, VoteState,
+};
+use rstest::rstest;
+
+fn holder(instance: u16) -> Holder {
+    Holder {
+        process: Process {
+            instance: InstanceId(instance),
+            incarnation: Incarnation(1),
+        },
+        attempt: 1,
+    }
+}
+
+fn promise(vote: VoteState) -> Promise {
+    Promise {
+        vote,
+        digest: 7,
+        accepted: None,
+    }
+}
+
+/// Promises by replica, of a group of three.
+struct Case {
+    promises: &'static [(u16, Vote)],
+    not_run: bool,
+}
+
+#[derive(Clone, Copy)]
+enum Vote {
+    None,
+    For(u16),
+    Void(u16),
+}
+
+impl Vote {
+    fn state(self) -> VoteState {
+        match self {
+            Self::None => VoteState::None,
+            Self::For(instance) => VoteState::For(holder(instance)),
+            Self::Void(instance) => VoteState::Void(holder(instance)),
+        }
+    }
+}
+
+#[rstest]
+#[case::nobody(Case { promises: &[(1, Vote::None), (2, Vote::None)], not_run: true })]
+#[case::one_vote_and_one_unheard(Case {
+    promises: &[(1, Vote::For(9)), (2, Vote::None)],
+    not_run: false,
+})]
+#[case::one_vote_and_all_heard(Case {
+    promises: &[(1, Vote::For(9)), (2, Vote::None), (3, Vote::None)],
+    not_run: true,
+})]
+#[case::majority(Case { promises: &[(1, Vote::For(9)), (2, Vote::For(9))], not_run: false })]
+#[case::split_with_one_unheard(Case {
+    promises: &[(1, Vote::For(1)), (2, Vote::For(2))],
+    not_run: false,
+})]
+#[case::split_given_up(Case {
+    promises: &[(1, Vote::Void(1)), (2, Vote::Void(2))],
+    not_run: true,
+})]
+#[case::given_up_by_its_holder(Case {
+    promises: &[(1, Vote::Void(1)), (2, Vote::For(1))],
+    not_run: true,
+})]
+fn not_run_is_said_only_where_it_is_certain(#[case] case: Case) {
+    let group = Group::new((1..=3).map(InstanceId).collect());
+    let mut promises = Promises::default();
+    for (instance, vote) in case.promises {
+        promises.add(InstanceId(*instance), promise(vote.state()));
+    }
+    let verdict = promises.verdict(&Arc::new(group));
+    let not_run = matches!(
+        &verdict,
+        Outcome::Refusal(refusal) if refusal.reason == RefusalReason::Unclaimed
+    );
+    assert_eq!(not_run, case.not_run, "{verdict:?}");
+}
+
+/// Two callers of one key are told different outcomes: the holder's answer was accepted by a
+/// majority, the holder died, and whoever settles the key proposes a failure of its own.
+#[test]
+fn accepted_outcome_is_proposed_again() {
+    let group = Group::new((1..=3).map(InstanceId).collect());
+    let answer = Outcome::Answer(Vec::new());
+    let other = Outcome::failure(Ran::Maybe, Step::Claim, &"x", "x");
+    let at = |round, outcome: &Outcome| {
+        let proposer = holder(9).process;
+        Promise {
+            accepted: Some((Ballot { round, proposer }, outcome.clone())),
+            ..promise(VoteState::For(holder(9)))
+        }
+    };
+    let mut promises = Promises::default();
+    promises.add(InstanceId(1), at(1, &answer));
+    promises.add(InstanceId(2), at(3, &other));
+    assert_eq!(promises.verdict(&group), other, "the highest ballot counts");
+}
--- /dev/null
+++ b/crates/celerywinch_claims/tests/votes.rs
@@ -0,0 +1,161 @@
+//! A replica's votes: given once, never again, and not at all where memory may be lost.
+
+use std::time::Duration;
+
+use celerywinch_claims::{Limits, Replica};
+use celerywinch_types::{
+    Ballot, Grant, Holder, Incarnation, InstanceId, Key, Outcome, Process, Ran, Step, WallMs,
+};
+use rstest::rstest;
+
+const START: WallMs = WallMs(1_000_000);
+const LATER: WallMs = WallMs(1_010_000);
+const LIMITS: Limits = Limits {
+    window: Duration::from_secs(8),
+    skew: Duration::from_millis(250),
+    retention: Duration::from_secs(20),
+};
+
+fn holder(instance: u16, attempt: u64) -> Holder {
+    Holder {
+        process: Process {
+            instance: InstanceId(instance),
+            incarnation: Incarnation(1),
+        },
+        attempt,
+    }
+}
+
+fn key(born: u64) -> Key {
+    Key::parse(&format!("k@{born}")).expect("a well-formed key")
+}
+
+fn failure() -> Outcome {
+    Outcome::failure(Ran::Maybe, Step::Claim, &"test", "test")
+}
+
+/// What happened to the key before, and what a vote asked for now gets.
+struct Case {
+    before: fn(&mut Replica, &Key),
+    born: u64,
+    wanted: Option<Grant>,
+}
+
+fn nothing(_: &mut Replica, _: &Key) {}
+
+fn voted_same(replica: &mut Replica, key: &Key) {
+    replica.vote(LATER, key, 7, holder(1, 2));
+}
+
+/// The caller's resubmission is run a second time: the process is done with the key, asks for the
+/// votes again before the replicas have learned that the outcome is decided, and gets them, since
+/// they were its own. The attempt in the holder tells the two apart.
+fn voted_earlier_attempt(replica: &mut Replica, key: &Key) {
+    replica.vote(LATER, key, 7, holder(1, 1));
+}
+
+fn voted_other(replica: &mut Replica, key: &Key) {
+    replica.vote(LATER, key, 7, holder(2, 9));
+}
+
+fn voted_other_body(replica: &mut Replica, key: &Key) {
+    replica.vote(LATER, key, 8, holder(2, 9));
+}
+
+fn promised(replica: &mut Replica, key: &Key) {
+    let ballot = Ballot {
+        round: 2,
+        proposer: holder(3, 1).process,
+    };
+    replica.prepare(LATER, key, ballot).expect("a first ballot");
+}
+
+fn abandoned(replica: &mut Replica, key: &Key) {
+    replica.vote(LATER, key, 7, holder(1, 2));
+    replica.abandon(key, holder(1, 2));
+}
+
+fn decided(replica: &mut Replica, key: &Key) {
+    let ballot = Ballot {
+        round: 1,
+        proposer: holder(2, 9).process,
+    };
+    replica
+        .accept(LATER, key, 7, ballot, &failure())
+        .expect("a first ballot");
+    replica.learn(key);
+}
+
+#[rstest]
+#[case::first(Case { before: nothing, born: 1_009_000, wanted: Some(Grant::Granted) })]
+#[case::same_again(Case { before: voted_same, born: 1_009_000, wanted: Some(Grant::Granted) })]
+#[case::earlier_attempt(Case {
+    before: voted_earlier_attempt,
+    born: 1_009_000,
+    wanted: Some(Grant::Taken(holder(1, 1))),
+})]
+#[case::other(Case {
+    before: voted_other,
+    born: 1_009_000,
+    wanted: Some(Grant::Taken(holder(2, 9))),
+})]
+#[case::other_body(Case {
+    before: voted_other_body,
+    born: 1_009_000,
+    wanted: Some(Grant::Conflict),
+})]
+#[case::promised(Case { before: promised, born: 1_009_000, wanted: Some(Grant::Settling) })]
+#[case::abandoned(Case { before: abandoned, born: 1_009_000, wanted: Some(Grant::Settling) })]
+#[case::decided(Case {
+    before: decided,
+    born: 1_009_000,
+    wanted: Some(Grant::Decided(failure())),
+})]
+#[case::born_before_start(Case { before: nothing, born: 999_000, wanted: Some(Grant::TooOld) })]
+#[case::too_new(Case { before: nothing, born: 1_010_251, wanted: Some(Grant::TooNew) })]
+fn vote_is_given_once(#[case] case: Case) {
+    let mut replica = Replica::new(LIMITS, START);
+    let key = key(case.born);
+    (case.before)(&mut replica, &key);
+    assert_eq!(replica.vote(LATER, &key, 7, holder(1, 2)), case.wanted);
+}
+
+/// Two entries start the same tasks: a replica votes, restarts without its memory, and votes again
+/// for another holder. It must abstain on every key that it can have voted on before.
+#[rstest]
+#[case::long_before(994_000, false)]
+#[case::just_before(1_000_250, false)]
+#[case::after(1_000_251, true)]
+fn restarted_replica_abstains_on_keys_of_its_earlier_life(#[case] born: u64, #[case] votes: bool) {
+    let mut replica = Replica::new(LIMITS, START);
+    let wall = WallMs(START.0 + 1_000);
+    let vote = replica.vote(wall, &key(born), 7, holder(1, 1));
+    assert_eq!(vote == Some(Grant::Granted), votes, "{vote:?}");
+    let ballot = Ballot {
+        round: 2,
+        proposer: holder(3, 1).process,
+    };
+    let promise = replica.prepare(wall, &key(born), ballot);
+    assert_eq!(promise.is_ok(), votes, "{promise:?}");
+}
+
+/// A caller is told "not run" of a key that ran: all replicas have forgotten it, and one that is
+/// asked for a promise makes an empty record that looks as if nobody ever voted.
+#[test]
+fn forgotten_key_is_not_promised() {
+    let mut replica = Replica::new(LIMITS, START);
+    let key = key(1_009_000);
+    assert_eq!(
+        replica.vote(LATER, &key, 7, holder(1, 1)),
+        Some(Grant::Granted)
+    );
+    let much_later = WallMs(LATER.0 + 100_000);
+    replica.expire(much_later, 10);
+    assert!(replica.is_empty());
+    let ballot = Ballot {
+        round: 2,
+        proposer: holder(3, 1).process,
+    };
+    assert!(replica.prepare(much_later, &key, ballot).is_err());
+    assert!(replica.vote(much_later, &key, 7, holder(2, 1)) == Some(Grant::TooOld));
+}
--- a/crates/celerywinch_entry/src/cancel.rs
+++ b/crates/celerywinch_entry/src/cancel.rs
@@ -50,7 +50,7 @@
             }
             Phase::Watching(holder) => {
                 let msg = PeerMsg::Relay(RelayMsg::Cancel(key.clone()));
-                out.push(Output::Send(holder.instance, msg));
+                out.push(Output::Send(holder.process.instance, msg));
             }
             Phase::Relayed(relay) => {
                 let msg = PeerMsg::Relay(RelayMsg::Cancel(key.clone()));
--- a/crates/celerywinch_entry/src/claims.rs
+++ b/crates/celerywinch_entry/src/claims.rs
@@ -3,7 +3,7 @@
 use celerywinch_claims::{Progress, Promise, Refused, Replica, Verdict};
 use celerywinch_dispatch::JobId;
 use celerywinch_types::{
-    Ballot, ClaimMsg, ClaimReply, Grant, InstanceId, Key, Outcome, PeerMsg, Time, VoteState,
+    Ballot, ClaimMsg, ClaimReply, Grant, Holder, InstanceId, Key, Outcome, PeerMsg, Time, VoteState,
 };
 
 use crate::job::Phase;
@@ -122,10 +122,8 @@
     ) {
         match reply {
             ClaimReply::Voted { key, holder, grant } => {
-                if holder == self.config.me
-                    && let Some(id) = self.by_key.get(&key).copied()
-                {
-                    self.voted(now, id, from, grant, out);
+                if let Some(id) = self.by_key.get(&key).copied() {
+                    self.voted(now, id, from, (holder, grant), out);
                 }
             }
             ClaimReply::Promised {
@@ -184,13 +182,18 @@
         now: Time,
         id: JobId,
         from: InstanceId,
-        grant: Option<Grant>,
+        vote: (Holder, Option<Grant>),
         out: &mut Vec<Output>,
     ) {
+        let (holder, grant) = vote;
         let granted = grant == Some(Grant::Granted);
         let Some(Phase::Voting(claim)) = self.jobs.get_mut(id).map(|job| &mut job.phase) else {
             return;
         };
+        // A late vote for an earlier attempt is no vote for this one.
+        if claim.holder() != holder {
+            return;
+        }
         match claim.answer(from, grant) {
             Progress::Wait if granted && from != self.me() => self.ask_votes(now, id, out),
             Progress::Wait => {}
@@ -203,16 +206,16 @@
         match verdict {
             Verdict::Won => self.claim_won(now, id, out),
             Verdict::Decided(outcome) => {
-                self.abandon(&key);
+                self.abandon(id);
                 self.conclude(id, &outcome, out);
             }
             Verdict::Lost(holder) => {
-                self.abandon(&key);
+                self.abandon(id);
                 out.push(Output::Event(Event::ClaimLost { key, holder }));
                 self.watch(now, id, holder, out);
             }
             Verdict::Settling => {
-                self.abandon(&key);
+                self.abandon(id);
                 self.settle(now, id, Ballot::default(), out);
             }
             Verdict::Conflict => self.reply_and_forget(id, &Reply::Conflict, out),
@@ -236,7 +239,7 @@
         for waiter in std::mem::take(&mut job.waiters) {
             self.tell(waiter, &key, digest, reply.clone(), out);
         }
-        self.abandon(&key);
+        self.abandon(id);
         self.forget(id);
     }
 
--- a/crates/celerywinch_entry/src/config.rs
+++ b/crates/celerywinch_entry/src/config.rs
@@ -5,12 +5,12 @@
 use celerywinch_claims::{Homes, Limits};
 use celerywinch_dispatch::Policy;
 use celerywinch_members::Timing;
-use celerywinch_types::{DataCentreId, Holder, InstanceId, WallMs};
+use celerywinch_types::{DataCentreId, InstanceId, Process, WallMs};
 
 /// Everything an entry is told at its start; made by [`ConfigBuilder`].
 #[derive(Clone, Debug)]
 pub struct Config {
-    pub(crate) me: Holder,
+    pub(crate) me: Process,
     pub(crate) dc: DataCentreId,
     pub(crate) wall: WallMs,
     pub(crate) seed: u64,
@@ -31,7 +31,7 @@
     /// Every process must be given the same instances: keys' homes and replicas follow from them.
     #[must_use]
     pub fn new(
-        me: Holder,
+        me: Process,
         dc: DataCentreId,
         wall: WallMs,
         instances: Vec<(InstanceId, DataCentreId, String)>,
--- a/crates/celerywinch_entry/src/entry.rs
+++ b/crates/celerywinch_entry/src/entry.rs
@@ -84,6 +84,7 @@
     pub(crate) renewed: Time,
     pub(crate) borrowed: Time,
     pub(crate) settling: u32,
+    pub(crate) attempts: u64,
     pub(crate) violations: u64,
     pub(crate) random: ChaCha8Rng,
     started: Time,
@@ -123,6 +124,7 @@
             renewed: now,
             borrowed: now,
             settling: 0,
+            attempts: 0,
             violations: 0,
             started: now,
         }
--- a/crates/celerywinch_entry/src/io.rs
+++ b/crates/celerywinch_entry/src/io.rs
@@ -7,7 +7,8 @@
 use celerywinch_catalogue::Catalogue;
 use celerywinch_dispatch::EndpointId;
 use celerywinch_types::{
-    EndpointNote, Holder, InstanceId, Key, KindName, Outcome, PeerMsg, Submission, TaskBody, domain,
+    EndpointNote, InstanceId, Key, KindName, Outcome, PeerMsg, Process, Submission, TaskBody,
+    domain,
 };
 
 use crate::Event;
@@ -30,7 +31,7 @@
     /// A caller cancels keys.
     Cancel(WaiterId, Vec<Key>),
     /// A message of another instance.
-    Peer(Holder, PeerMsg),
+    Peer(Process, PeerMsg),
     /// Nothing listens at an instance's address: its process is gone.
     PeerGone(InstanceId),
     /// An endpoint announced itself here.
--- a/crates/celerywinch_entry/src/members.rs
+++ b/crates/celerywinch_entry/src/members.rs
@@ -4,7 +4,7 @@
 
 use celerywinch_members::{Change, PeerChange, RENEWAL, Source};
 use celerywinch_types::{
-    EndpointNote, Heartbeat, Holder, InstanceId, MemberMsg, PeerMsg, Renewal, Time, WallMs,
+    EndpointNote, Heartbeat, InstanceId, MemberMsg, PeerMsg, Process, Renewal, Time, WallMs,
 };
 
 use crate::{Entry, Event, Output};
@@ -13,7 +13,7 @@
 const CLOCK_SET_BACK: Duration = Duration::from_millis(100);
 
 impl Entry {
-    pub(crate) fn peer(&mut self, now: Time, from: Holder, msg: PeerMsg, out: &mut Vec<Output>) {
+    pub(crate) fn peer(&mut self, now: Time, from: Process, msg: PeerMsg, out: &mut Vec<Output>) {
         let mut changes = Vec::new();
         self.peers
             .heard(now, from.instance, from.incarnation, &mut changes);
--- a/crates/celerywinch_entry/src/relay.rs
+++ b/crates/celerywinch_entry/src/relay.rs
@@ -2,7 +2,7 @@
 
 use celerywinch_dispatch::JobId;
 use celerywinch_types::{
-    Ballot, DataCentreId, Holder, InstanceId, Key, Outcome, PeerMsg, RelayMsg, Submission, Time,
+    Ballot, DataCentreId, InstanceId, Key, Outcome, PeerMsg, Process, RelayMsg, Submission, Time,
 };
 use rand::Rng;
 
@@ -86,7 +86,7 @@
     pub(crate) fn relay_msg(
         &mut self,
         now: Time,
-        from: Holder,
+        from: Process,
         msg: RelayMsg,
         out: &mut Vec<Output>,
     ) {
@@ -161,7 +161,7 @@
     ) {
         for id in self.jobs_of(key) {
             let asked = match &self.jobs[id].phase {
-                Phase::Watching(holder) => holder.instance == peer,
+                Phase::Watching(holder) => holder.process.instance == peer,
                 Phase::Relayed(relay) => relay.via == peer,
                 Phase::Inspecting(_) => true,
                 _ => false,
@@ -178,7 +178,7 @@
         for id in self.jobs_of(key) {
             let watching = matches!(
                 self.jobs[id].phase,
-                Phase::Watching(holder) if holder.instance == peer
+                Phase::Watching(holder) if holder.process.instance == peer
             );
             if watching {
                 self.settle(now, id, Ballot::default(), out);
@@ -199,7 +199,7 @@
         for id in self.jobs_of(key) {
             let asked = match &self.jobs[id].phase {
                 Phase::Relayed(relay) => relay.via == peer,
-                Phase::Watching(holder) => holder.instance == peer,
+                Phase::Watching(holder) => holder.process.instance == peer,
                 _ => false,
             };
             if asked {
--- a/crates/celerywinch_entry/src/settle.rs
+++ b/crates/celerywinch_entry/src/settle.rs
@@ -5,7 +5,7 @@
 use celerywinch_claims::{Claim, Progress, Promise};
 use celerywinch_dispatch::JobId;
 use celerywinch_types::{
-    Ballot, ClaimMsg, ClaimReply, Holder, InstanceId, PeerMsg, RelayMsg, Time,
+    Ballot, ClaimMsg, ClaimReply, Holder, InstanceId, PeerMsg, RelayMsg, Time, VoteState,
 };
 use rand::Rng;
 
@@ -22,8 +22,12 @@
 impl Entry {
     /// Waits for the outcome of a key that another process holds, or settles it if that is gone.
     pub(crate) fn watch(&mut self, now: Time, id: JobId, holder: Holder, out: &mut Vec<Output>) {
-        let own_earlier_life = holder.instance == self.me();
-        if own_earlier_life || self.peers.gone(holder.instance, holder.incarnation) {
+        let own_earlier_attempt = holder.process.instance == self.me();
+        if own_earlier_attempt
+            || self
+                .peers
+                .gone(holder.process.instance, holder.process.incarnation)
+        {
             self.settle(now, id, Ballot::default(), out);
             return;
         }
@@ -32,14 +36,14 @@
         };
         job.phase = Phase::Watching(holder);
         let msg = PeerMsg::Relay(RelayMsg::Watch(job.key.clone()));
-        out.push(Output::Send(holder.instance, msg));
+        out.push(Output::Send(holder.process.instance, msg));
         self.schedule_resend(now, id, WATCH_EVERY);
     }
 
     /// Jobs that wait for a life of a peer that is over are settled at once.
     pub(crate) fn settle_after(&mut self, now: Time, peer: InstanceId, out: &mut Vec<Output>) {
         let waiting = self.jobs.iter().filter_map(|(id, job)| match job.phase {
-            Phase::Watching(holder) if holder.instance == peer => Some((id, holder)),
+            Phase::Watching(holder) if holder.process.instance == peer => Some((id, holder)),
             _ => None,
         });
         let waiting: Vec<_> = waiting.collect();
@@ -178,18 +182,21 @@
         from: InstanceId,
         out: &mut Vec<Output>,
     ) {
-        match self.jobs.get_mut(id).map(|job| &mut job.phase) {
-            Some(Phase::Settling(claim)) => {
-                if claim.abstain(from) == Progress::Done(()) {
-                    self.no_memory(now, id, out);
-                }
-            }
-            Some(Phase::Inspecting(_)) => {
-                let nothing = (celerywinch_types::VoteState::None, 0, None, false);
-                let key = self.jobs[id].key.clone();
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let hopeless = match &mut job.phase {
+            Phase::Settling(claim) => claim.abstain(from) == Progress::Done(()),
+            Phase::Inspecting(_) => {
+                let nothing = (VoteState::None, 0, None, false);
+                let key = job.key.clone();
                 self.found(now, from, &key, nothing, out);
+                false
             }
-            _ => {}
+            _ => false,
+        };
+        if hopeless {
+            self.no_memory(now, id, out);
         }
     }
 
--- a/crates/celerywinch_entry/src/submit.rs
+++ b/crates/celerywinch_entry/src/submit.rs
@@ -5,7 +5,7 @@
 use celerywinch_claims::{Claim, Group};
 use celerywinch_dispatch::{JobId, Work};
 use celerywinch_types::{
-    Ballot, ClaimMsg, Key, Outcome, PeerMsg, Ran, RelayMsg, Step, Submission, Time,
+    ClaimMsg, Holder, Key, Outcome, PeerMsg, Ran, RelayMsg, Step, Submission, Time,
 };
 
 use crate::entry::Timer;
@@ -136,19 +136,16 @@
         }
         let (key, digest) = (self.jobs[id].key.clone(), self.jobs[id].digest);
         let me = self.me();
-        // This process has declared that it will never start the key, and the key may have been
-        // settled as not run on the strength of that. Late votes for the first attempt could give
-        // it the claim all the same, and a refused key would run.
-        let holder = self.config.me;
-        if self.replica(&key).is_some_and(|r| r.gave_up(&key, holder)) {
-            self.settle(now, id, Ballot::default(), out);
-            return;
-        }
+        self.attempts += 1;
+        let holder = Holder {
+            process: self.config.me,
+            attempt: self.attempts,
+        };
         let order = group.order(&key);
         let first = order
             .into_iter()
             .find(|r| *r == me || self.peers.usable(*r));
-        let claim = Claim::new(key.clone(), digest, group, self.config.me, first);
+        let claim = Claim::new(key.clone(), digest, group, holder, first);
         self.jobs[id].phase = Phase::Voting(claim);
         self.schedule_resend(now, id, RESEND);
         match first {
@@ -195,15 +192,23 @@
         if matches!(self.jobs[id].phase, Phase::Running(_) | Phase::Deciding(_)) {
             return;
         }
-        self.abandon(&key);
+        self.abandon(id);
         self.forget(id);
     }
 
-    /// Declares that this process will never start the key under its present votes.
-    pub(crate) fn abandon(&mut self, key: &Key) {
-        let holder = self.config.me;
-        for replica in self.replicas.values_mut() {
-            replica.abandon(key, holder);
+    /// Declares that an attempt for the claim is over before any task was started.
+    ///
+    /// Without it a key whose votes were split could only end in "may have run".
+    pub(crate) fn abandon(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let Phase::Voting(claim) = &job.phase else {
+            return;
+        };
+        let (key, holder) = (job.key.clone(), claim.holder());
+        if let Some(replica) = self.replica(&key) {
+            replica.abandon(&key, holder);
         }
     }
 
--- a/crates/celerywinch_node/src/links/incoming.rs
+++ b/crates/celerywinch_node/src/links/incoming.rs
@@ -3,7 +3,7 @@
 use anyhow::Context;
 use bytes::BytesMut;
 use celerywinch_entry::Input;
-use celerywinch_types::{Holder, Incarnation, InstanceId};
+use celerywinch_types::{Incarnation, InstanceId, Process};
 use h2::RecvStream;
 use http::{HeaderMap, Request, Response, StatusCode};
 use subtle::ConstantTimeEq;
@@ -64,14 +64,14 @@
 }
 
 /// Who sends, if the secret is the right one.
-fn identify(request: &Request<RecvStream>, context: &LinkContext) -> Option<Holder> {
+fn identify(request: &Request<RecvStream>, context: &LinkContext) -> Option<Process> {
     let headers = request.headers();
     let shown = headers.get(SECRET_HEADER)?.as_bytes();
     if !bool::from(shown.ct_eq(context.secret.expose().as_bytes())) {
         log::warn!("link: Refused a link with a wrong secret.");
         return None;
     }
-    Some(Holder {
+    Some(Process {
         instance: InstanceId(number(headers, INSTANCE_HEADER)?),
         incarnation: Incarnation(number(headers, INCARNATION_HEADER)?),
     })
@@ -83,7 +83,7 @@
 
 async fn receive(
     mut stream: RecvStream,
-    from: Holder,
+    from: Process,
     context: &LinkContext,
 ) -> anyhow::Result<()> {
     let mut buffer = BytesMut::new();
--- a/crates/celerywinch_node/src/links/mod.rs
+++ b/crates/celerywinch_node/src/links/mod.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 
 use celerywinch_settings::{Instance, Secret};
-use celerywinch_types::{Holder, InstanceId, PeerMsg};
+use celerywinch_types::{InstanceId, PeerMsg, Process};
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 
 use crate::Clock;
@@ -40,7 +40,7 @@
 /// What all links of a process share.
 #[derive(Clone)]
 pub(crate) struct LinkContext {
-    pub(crate) me: Holder,
+    pub(crate) me: Process,
     pub(crate) secret: Secret,
     pub(crate) clock: Arc<Clock>,
     pub(crate) core: UnboundedSender<CoreMsg>,
--- a/crates/celerywinch_node/src/node.rs
+++ b/crates/celerywinch_node/src/node.rs
@@ -11,7 +11,7 @@
 use celerywinch_catalogue::{Catalogue, Document};
 use celerywinch_entry::{ConfigBuilder, Entry, Input};
 use celerywinch_settings::{Settings, load_catalogue};
-use celerywinch_types::{Holder, Incarnation};
+use celerywinch_types::{Incarnation, Process};
 use ntex::rt::Arbiter;
 use ntex::server::Server;
 use ntex::time::Seconds;
@@ -55,7 +55,7 @@
     /// An address that cannot be bound or a file that cannot be used; the error names it.
     pub async fn start(settings: Settings, options: NodeOptions) -> anyhow::Result<Self> {
         let clock = Arc::new(Clock::default());
-        let me = Holder {
+        let me = Process {
             instance: settings.me.id,
             incarnation: Incarnation(Clock::wall().0),
         };
--- a/crates/celerywinch_node/src/shared.rs
+++ b/crates/celerywinch_node/src/shared.rs
@@ -9,7 +9,7 @@
 use celerywinch_catalogue::Catalogue;
 use celerywinch_entry::{Input, Reply, Status};
 use celerywinch_settings::Settings;
-use celerywinch_types::{Holder, Key, Submission};
+use celerywinch_types::{Key, Process, Submission};
 use serde::Serialize;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
@@ -30,7 +30,7 @@
 /// The status of an instance, for operators.
 #[derive(Clone, Debug, Serialize)]
 pub(crate) struct StatusPage {
-    pub(crate) at: Holder,
+    pub(crate) at: Process,
     pub(crate) ready: bool,
     #[serde(flatten)]
     pub(crate) figures: Figures,
@@ -100,7 +100,7 @@
 #[derive(Debug)]
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
-    pub(crate) me: Holder,
+    pub(crate) me: Process,
     pub(crate) catalogue: ArcSwap<Catalogue>,
     pub(crate) metrics: Metrics,
     pub(crate) core: UnboundedSender<CoreMsg>,
--- a/crates/celerywinch_node/src/timeline.rs
+++ b/crates/celerywinch_node/src/timeline.rs
@@ -10,7 +10,7 @@
 
 use anyhow::Context;
 use celerywinch_entry::Event;
-use celerywinch_types::Holder;
+use celerywinch_types::Process;
 use serde::{Deserialize, Serialize};
 
 use crate::Clock;
@@ -24,7 +24,7 @@
     /// Hybrid logical time; see [`Clock`].
     pub hlc: u64,
     /// The process.
-    pub at: Holder,
+    pub at: Process,
 }
 
 /// One line of a time line.
@@ -42,13 +42,17 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Timeline {
     clock: Arc<Clock>,
-    at: Holder,
+    at: Process,
     lines: Option<Sender<Line>>,
 }
 
 impl Timeline {
     /// Appends to `file`, or writes nothing without one.
-    pub(crate) fn open(clock: Arc<Clock>, at: Holder, file: Option<&Path>) -> anyhow::Result<Self> {
+    pub(crate) fn open(
+        clock: Arc<Clock>,
+        at: Process,
+        file: Option<&Path>,
+    ) -> anyhow::Result<Self> {
         let lines = file.map(start_writer).transpose()?;
         Ok(Self { clock, at, lines })
     }
--- a/crates/celerywinch_standin/src/relay.rs
+++ b/crates/celerywinch_standin/src/relay.rs
@@ -131,10 +131,7 @@
     generation: u64,
 ) {
     let mut buffer = vec![0; 64 << 10];
-    loop {
-        let Ok(count) = from.read(&mut buffer).await else {
-            break;
-        };
+    while let Ok(count) = from.read(&mut buffer).await {
         if count == 0 {
             break;
         }
--- a/crates/celerywinch_types/src/id.rs
+++ b/crates/celerywinch_types/src/id.rs
@@ -30,12 +30,25 @@
 }
 
 domain! {
-    /// The one process life that may start the tasks of a key.
+    /// One life of an instance.
     #[derive(Copy, Hash, PartialOrd, Ord, Default)]
-    pub struct Holder {
+    pub struct Process {
         /// The instance.
         pub instance: InstanceId,
         /// Which life of it.
         pub incarnation: Incarnation,
     }
+
+    /// One attempt of a process to get the claim of a key; who may start its tasks.
+    ///
+    /// The attempt is part of it, for votes are given again to the holder that has them: without it
+    /// a process that is done with a key would get the votes for a resubmission and start the
+    /// tasks a second time.
+    #[derive(Copy, Hash, PartialOrd, Ord, Default)]
+    pub struct Holder {
+        /// The process.
+        pub process: Process,
+        /// Counts the attempts of the process, over all keys.
+        pub attempt: u64,
+    }
 }
--- a/crates/celerywinch_types/src/lib.rs
+++ b/crates/celerywinch_types/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use endpoint::{EndpointNote, EndpointState, KindName};
 pub use hash::{score, stable_hash};
-pub use id::{DataCentreId, Holder, Incarnation, InstanceId};
+pub use id::{DataCentreId, Holder, Incarnation, InstanceId, Process};
 pub use job::{Submission, TaskBody};
 pub use key::{Key, KeyError, MAX_KEY_BYTES};
 pub use message::{
--- a/crates/celerywinch_types/src/message.rs
+++ b/crates/celerywinch_types/src/message.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use crate::{EndpointNote, Holder, Incarnation, Key, Outcome, Submission, Time, WallMs, domain};
+use crate::{
+    EndpointNote, Holder, Incarnation, Key, Outcome, Process, Submission, Time, WallMs, domain,
+};
 
 domain! {
     /// A ballot of the register that agrees on a key's outcome.
@@ -15,7 +17,7 @@
         /// The round.
         pub round: u32,
         /// Whose ballot it is.
-        pub proposer: Holder,
+        pub proposer: Process,
     }
 
     /// What a replica has recorded about the claim of a key.
