Replicated store: log, disk, keeper, proposer, and their randomised runs

Weighed: leader-based log (Raft with pre-vote, check-quorum, one-at-a-time groups) against leaderless registers as for claims; changes are few and must form one order, and a synced write is needed anyway, so the log. A keeper is instance and disk: one with an empty disk is another keeper. Left: the daemon's part, spreading to entries.

--- a/crates/celerywinch_bench/src/soak/mod.rs
+++ b/crates/celerywinch_bench/src/soak/mod.rs
@@ -8,6 +8,8 @@
 mod faults;
 mod history;
 mod network;
+mod store;
 mod world;
 
+pub use store::run_store;
 pub use world::{Report, SoakOptions, run};
--- a/crates/celerywinch_node/src/http/problem.rs
+++ b/crates/celerywinch_node/src/http/problem.rs
@@ -9,7 +9,12 @@
 
 /// What went wrong, in a form that programs can read.
 #[derive(Clone, Debug, Serialize)]
-pub(crate) struct Problem {
+#[serde(transparent)]
+pub(crate) struct Problem(Box<Members>);
+
+/// The members of a problem's body.
+#[derive(Clone, Debug, Serialize)]
+struct Members {
     #[serde(rename = "type")]
     kind: String,
     title: String,
@@ -36,7 +41,7 @@
 
 impl Problem {
     pub(crate) fn new(status: u16, kind: &str, title: &str) -> Self {
-        Self {
+        Self(Box::new(Members {
             kind: format!("{TYPE_PREFIX}{kind}"),
             title: title.into(),
             status,
@@ -48,7 +53,7 @@
             peer: None,
             retry_after_ms: None,
             retry_key: None,
-        }
+        }))
     }
 
     pub(crate) fn internal() -> Self {
@@ -56,42 +61,42 @@
     }
 
     pub(crate) fn detail(mut self, detail: &str) -> Self {
-        self.detail = Some(detail.into());
+        self.0.detail = Some(detail.into());
         self
     }
 
     pub(crate) fn field(mut self, field: &str) -> Self {
-        self.field = Some(field.into());
+        self.0.field = Some(field.into());
         self
     }
 
     pub(crate) fn ran(mut self, ran: &str) -> Self {
-        self.ran = Some(ran.into());
+        self.0.ran = Some(ran.into());
         self
     }
 
     pub(crate) fn reason(mut self, reason: String) -> Self {
-        self.reason = Some(reason);
+        self.0.reason = Some(reason);
         self
     }
 
     pub(crate) fn at(mut self, step: String, peer: &str) -> Self {
-        self.step = Some(step);
-        self.peer = Some(peer.into());
+        self.0.step = Some(step);
+        self.0.peer = Some(peer.into());
         self
     }
 
     pub(crate) fn retry(mut self, after_ms: Option<u32>, key: &'static str) -> Self {
-        self.retry_after_ms = after_ms;
-        self.retry_key = after_ms.map(|_| key);
+        self.0.retry_after_ms = after_ms;
+        self.0.retry_key = after_ms.map(|_| key);
         self
     }
 
     pub(crate) fn response(&self) -> HttpResponse {
-        let status = StatusCode::from_u16(self.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let status = StatusCode::from_u16(self.0.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
         let mut response = HttpResponse::build(status);
         response.content_type("application/problem+json");
-        if let Some(millis) = self.retry_after_ms {
+        if let Some(millis) = self.0.retry_after_ms {
             response.header("retry-after", millis.div_ceil(1000).to_string());
         }
         match serde_json::to_string(self) {
--- /dev/null
+++ b/crates/celerywinch_store/src/disk.rs
@@ -0,0 +1,329 @@
+//! The log file and the snapshot of one keeper.
+//!
+//! The log is a file of records, each with a mark, a length and a checksum. A record is synced
+//! before anything that depends on it leaves the process. Snapshots, and the log that remains
+//! after one, are written beside the old files, synced, and moved into their place; the folder is
+//! synced too, or the move itself could be lost.
+
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Read, Write};
+use std::path::{Path, PathBuf};
+
+use bincode::config::standard;
+use celerywinch_types::domain;
+use serde::{Serialize, de::DeserializeOwned};
+use thiserror::Error;
+
+use crate::{Entry, KeeperId, Snapshot};
+
+/// Starts every record, so that whole records can be found behind a damaged one.
+const MARK: [u8; 4] = *b"cwr1";
+/// Bytes before a record's body: mark, length, checksum.
+const HEAD: usize = 12;
+/// The longest record, in bytes.
+const LONGEST: usize = 256 << 20;
+
+const IDENTITY: &str = "identity";
+const LOG: &str = "log";
+const SNAPSHOT: &str = "snapshot";
+
+domain! {
+    /// One record of the log file.
+    pub enum Record {
+        /// The term and the vote in it.
+        Vote {
+            /// The term.
+            term: u64,
+            /// Who has the vote.
+            vote: Option<KeeperId>,
+        },
+        /// Entries from this index on are dropped.
+        Truncate(u64),
+        /// An entry.
+        Entry(Entry),
+    }
+}
+
+/// Why the disk could not be used.
+#[derive(Debug, Error)]
+pub enum DiskError {
+    /// Reading, writing or syncing failed.
+    #[error("{step}: {file}: {cause}")]
+    Io {
+        /// What was tried.
+        step: &'static str,
+        /// The file.
+        file: PathBuf,
+        /// The cause.
+        cause: io::Error,
+    },
+    /// A file is damaged other than by an unfinished write at its end.
+    #[error(
+        "{file} is damaged at byte {offset}, with whole records behind it; move the folder away \
+         and start with an empty one, and this keeper will be admitted as a new one"
+    )]
+    Damaged {
+        /// The file.
+        file: PathBuf,
+        /// Where.
+        offset: usize,
+    },
+}
+
+/// What the disk held at the start.
+#[derive(Debug, Default)]
+pub struct Loaded {
+    /// The term and the vote.
+    pub vote: (u64, Option<KeeperId>),
+    /// The snapshot.
+    pub snapshot: Snapshot,
+    /// The entries after it.
+    pub entries: Vec<Entry>,
+    /// Bytes of an unfinished record that were cut off.
+    pub torn: usize,
+}
+
+/// The disk of one keeper.
+#[derive(Debug)]
+pub struct Disk {
+    folder: PathBuf,
+    log: File,
+    /// The length of the log up to the last whole record.
+    length: u64,
+    vote: (u64, Option<KeeperId>),
+    entries: Vec<Entry>,
+    buffer: Vec<u8>,
+}
+
+fn at<T>(step: &'static str, file: &Path, result: io::Result<T>) -> Result<T, DiskError> {
+    result.map_err(|cause| DiskError::Io {
+        step,
+        file: file.to_owned(),
+        cause,
+    })
+}
+
+impl Disk {
+    /// Opens the folder, or makes it with `identity` for a new disk; gives the disk's identity.
+    ///
+    /// # Errors
+    ///
+    /// A file cannot be used or is damaged.
+    pub fn open(folder: &Path, identity: u64) -> Result<(Self, u64, Loaded), DiskError> {
+        at("make the folder", folder, fs::create_dir_all(folder))?;
+        let identity = open_identity(folder, identity)?;
+        let snapshot = load_snapshot(folder)?;
+        let path = folder.join(LOG);
+        let (records, length, torn) = load_log(&path)?;
+        let mut loaded = Loaded {
+            snapshot,
+            torn,
+            ..Loaded::default()
+        };
+        records.into_iter().for_each(|record| loaded.take(record));
+        let start = loaded.snapshot.index;
+        loaded.entries.retain(|entry| entry.index > start);
+        let options = OpenOptions::new().create(true).append(true).open(&path);
+        let log = at("open", &path, options)?;
+        at("cut the torn end", &path, log.set_len(length))?;
+        at("sync", &path, log.sync_all())?;
+        sync_folder(folder)?;
+        let disk = Self {
+            folder: folder.to_owned(),
+            log,
+            length,
+            vote: loaded.vote,
+            entries: loaded.entries.clone(),
+            buffer: Vec::new(),
+        };
+        Ok((disk, identity, loaded))
+    }
+
+    /// Writes records and syncs them.
+    ///
+    /// # Errors
+    ///
+    /// Nothing of the records counts as written then: what reached the file is cut off again, or,
+    /// if even that fails, at the next start.
+    pub fn append(&mut self, records: &[Record]) -> Result<(), DiskError> {
+        self.buffer.clear();
+        for record in records {
+            encode(&mut self.buffer, record);
+        }
+        let path = self.folder.join(LOG);
+        let written = self
+            .log
+            .write_all(&self.buffer)
+            .and_then(|()| self.log.sync_data());
+        if let Err(cause) = written {
+            let _ = self.log.set_len(self.length);
+            return at("write", &path, Err(cause));
+        }
+        self.length += self.buffer.len() as u64;
+        for record in records {
+            self.remember(record);
+        }
+        Ok(())
+    }
+
+    fn remember(&mut self, record: &Record) {
+        match record {
+            Record::Vote { term, vote } => self.vote = (*term, *vote),
+            Record::Truncate(index) => self.entries.retain(|entry| entry.index < *index),
+            Record::Entry(entry) => self.entries.push(entry.clone()),
+        }
+    }
+
+    /// Writes a snapshot in the place of the entries that it includes.
+    ///
+    /// # Errors
+    ///
+    /// The snapshot before, or the log before, is still in place.
+    pub fn compact(&mut self, snapshot: &Snapshot) -> Result<(), DiskError> {
+        let mut bytes = Vec::new();
+        encode(&mut bytes, snapshot);
+        replace(&self.folder, SNAPSHOT, &bytes)?;
+        // A crash here leaves entries that the snapshot includes; they are dropped at the start.
+        self.entries.retain(|entry| entry.index > snapshot.index);
+        let mut bytes = Vec::new();
+        let (term, vote) = self.vote;
+        encode(&mut bytes, &Record::Vote { term, vote });
+        for entry in &self.entries {
+            encode(&mut bytes, &Record::Entry(entry.clone()));
+        }
+        replace(&self.folder, LOG, &bytes)?;
+        let path = self.folder.join(LOG);
+        let opened = OpenOptions::new().append(true).open(&path);
+        self.log = at("open", &path, opened)?;
+        self.length = bytes.len() as u64;
+        Ok(())
+    }
+}
+
+impl Loaded {
+    fn take(&mut self, record: Record) {
+        match record {
+            Record::Vote { term, vote } => self.vote = (term, vote),
+            Record::Truncate(index) => self.entries.retain(|entry| entry.index < index),
+            Record::Entry(entry) => self.entries.push(entry),
+        }
+    }
+}
+
+fn encode<T: Serialize>(buffer: &mut Vec<u8>, value: &T) {
+    let body = bincode::serde::encode_to_vec(value, standard()).expect("plain data encodes");
+    let length = u32::try_from(body.len()).expect("records are far shorter than 4 GiB");
+    buffer.extend_from_slice(&MARK);
+    buffer.extend_from_slice(&length.to_le_bytes());
+    buffer.extend_from_slice(&crc32fast::hash(&body).to_le_bytes());
+    buffer.extend_from_slice(&body);
+}
+
+/// The whole record at the start of `bytes`, and its length.
+fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Option<(T, usize)> {
+    let head = bytes.get(..HEAD)?;
+    let number = |range: std::ops::Range<usize>| -> Option<u32> {
+        Some(u32::from_le_bytes(head.get(range)?.try_into().ok()?))
+    };
+    let length = usize::try_from(number(4..8)?).ok()?;
+    if head[..4] != MARK || length > LONGEST {
+        return None;
+    }
+    let body = bytes.get(HEAD..HEAD + length)?;
+    if crc32fast::hash(body) != number(8..12)? {
+        return None;
+    }
+    let (value, used) = bincode::serde::decode_from_slice(body, standard()).ok()?;
+    (used == length).then_some((value, HEAD + length))
+}
+
+fn read(path: &Path) -> Result<Option<Vec<u8>>, DiskError> {
+    match File::open(path) {
+        Ok(mut file) => {
+            let mut bytes = Vec::new();
+            at("read", path, file.read_to_end(&mut bytes))?;
+            Ok(Some(bytes))
+        }
+        Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
+        Err(cause) => at("open", path, Err(cause)),
+    }
+}
+
+fn load_log(path: &Path) -> Result<(Vec<Record>, u64, usize), DiskError> {
+    let bytes = read(path)?.unwrap_or_default();
+    let mut records = Vec::new();
+    let mut offset = 0;
+    while offset < bytes.len() {
+        match decode(&bytes[offset..]) {
+            Some((record, length)) => {
+                records.push(record);
+                offset += length;
+            }
+            None => break,
+        }
+    }
+    // An unfinished write is the last thing in the file. Whole records behind the bad bytes mean
+    // that synced ones were damaged; to cut them off would forget what others count on.
+    if has_record(&bytes[offset..]) {
+        return Err(DiskError::Damaged {
+            file: path.to_owned(),
+            offset,
+        });
+    }
+    Ok((records, offset as u64, bytes.len() - offset))
+}
+
+fn has_record(bytes: &[u8]) -> bool {
+    let starts = bytes.windows(MARK.len()).enumerate();
+    let mut starts = starts.filter(|(_, window)| *window == MARK);
+    starts.any(|(start, _)| decode::<Record>(&bytes[start..]).is_some())
+}
+
+fn load_snapshot(folder: &Path) -> Result<Snapshot, DiskError> {
+    let path = folder.join(SNAPSHOT);
+    let Some(bytes) = read(&path)? else {
+        return Ok(Snapshot::default());
+    };
+    match decode(&bytes) {
+        Some((snapshot, _)) => Ok(snapshot),
+        None => Err(DiskError::Damaged {
+            file: path,
+            offset: 0,
+        }),
+    }
+}
+
+fn open_identity(folder: &Path, fresh: u64) -> Result<u64, DiskError> {
+    let path = folder.join(IDENTITY);
+    match read(&path)? {
+        Some(bytes) => match decode(&bytes) {
+            Some((identity, _)) => Ok(identity),
+            None => Err(DiskError::Damaged {
+                file: path,
+                offset: 0,
+            }),
+        },
+        None => {
+            let mut bytes = Vec::new();
+            encode(&mut bytes, &fresh);
+            replace(folder, IDENTITY, &bytes)?;
+            Ok(fresh)
+        }
+    }
+}
+
+/// Puts a whole file in the place of another, or leaves the other.
+fn replace(folder: &Path, name: &str, bytes: &[u8]) -> Result<(), DiskError> {
+    let path = folder.join(name);
+    let beside = folder.join(format!("{name}.new"));
+    let mut file = at("make", &beside, File::create(&beside))?;
+    at("write", &beside, file.write_all(bytes))?;
+    at("sync", &beside, file.sync_all())?;
+    at("move into place", &path, fs::rename(&beside, &path))?;
+    sync_folder(folder)
+}
+
+fn sync_folder(folder: &Path) -> Result<(), DiskError> {
+    let opened = at("open", folder, File::open(folder))?;
+    at("sync", folder, opened.sync_all())
+}
--- /dev/null
+++ b/crates/celerywinch_store/src/lib.rs
@@ -0,0 +1,20 @@
+//! A replicated log with majority commit, kept on the disks of a few instances.
+//!
+//! [`Raft`] is the state machine: it has no clock, socket or disk. The host carries out its
+//! [`Output`]s strictly in order; what must last before a message may leave comes before it.
+//! [`Disk`] is the log file and the snapshot of one keeper.
+//!
+//! The protocol is Raft with pre-vote, check-quorum, snapshots, and changes of the group by one
+//! keeper at a time. A keeper is named by its instance and by the identity of its disk
+//! ([`KeeperId`]): one whose disk came back empty is another keeper and does not vote until it was
+//! admitted and has caught up.
+
+mod disk;
+mod log;
+mod message;
+mod raft;
+
+pub use disk::{Disk, DiskError, Loaded, Record};
+pub use log::{Entry, Group, KeeperId, Payload, Snapshot};
+pub use message::{RaftMsg, decode, encode};
+pub use raft::{Input, Output, Raft, RaftConfig, Role};
--- /dev/null
+++ b/crates/celerywinch_store/src/raft/election.rs
@@ -0,0 +1,182 @@
+//! Elections.
+
+use celerywinch_types::Time;
+
+use super::{Output, Progress, Raft, Role};
+use crate::{KeeperId, Payload, RaftMsg};
+
+impl Raft {
+    /// Time is up without a leader: asks first whether an election would be of use.
+    ///
+    /// A keeper that was cut off for long would otherwise come back with a high term and depose a
+    /// leader that works. With the question, it raises no term while it cannot win.
+    pub(super) fn stand(&mut self, now: Time, out: &mut Vec<Output>) {
+        if !self.is_voter() {
+            self.heard = now;
+            return;
+        }
+        self.role = Role::Follower(None);
+        self.set_role(now, Role::PreCandidate, out);
+        self.votes = vec![self.config.me];
+        let msg = RaftMsg::PreVote {
+            term: self.term + 1,
+            last: (self.log.last_term(), self.log.last_index()),
+        };
+        self.ask_voters(&msg, out);
+        self.count_pre_votes(now, out);
+    }
+
+    fn ask_voters(&self, msg: &RaftMsg, out: &mut Vec<Output>) {
+        let me = self.config.me;
+        for voter in self.log.group().voters.iter().filter(|v| **v != me) {
+            self.send(*voter, msg.clone(), out);
+        }
+    }
+
+    pub(super) fn pre_vote(
+        &mut self,
+        now: Time,
+        from: KeeperId,
+        term: u64,
+        last: (u64, u64),
+        out: &mut Vec<Output>,
+    ) {
+        if self.role == Role::Blank {
+            return;
+        }
+        let granted = term > self.term && self.up_to_date(last) && !self.has_leader(now);
+        let term = if granted { term } else { self.term };
+        self.send(from, RaftMsg::PreVoteReply { term, granted }, out);
+    }
+
+    /// Whether a leader was heard of so lately that nobody should be elected in its place.
+    fn has_leader(&self, now: Time) -> bool {
+        match self.role {
+            Role::Leader => true,
+            Role::Follower(Some(_)) => now.since(self.heard) < self.config.election,
+            _ => false,
+        }
+    }
+
+    fn up_to_date(&self, last: (u64, u64)) -> bool {
+        last >= (self.log.last_term(), self.log.last_index())
+    }
+
+    pub(super) fn pre_vote_reply(
+        &mut self,
+        now: Time,
+        from: KeeperId,
+        term: u64,
+        granted: bool,
+        out: &mut Vec<Output>,
+    ) {
+        if !granted {
+            self.observe(now, term, None, out);
+            return;
+        }
+        if self.role != Role::PreCandidate || term != self.term + 1 {
+            return;
+        }
+        if !self.votes.contains(&from) {
+            self.votes.push(from);
+        }
+        self.count_pre_votes(now, out);
+    }
+
+    fn count_pre_votes(&mut self, now: Time, out: &mut Vec<Output>) {
+        if self.has_votes() {
+            self.ask_for_votes(now, out);
+        }
+    }
+
+    fn has_votes(&self) -> bool {
+        let group = self.log.group();
+        let counted = self.votes.iter().filter(|v| group.voters.contains(v));
+        counted.count() >= group.majority()
+    }
+
+    fn ask_for_votes(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.term += 1;
+        self.vote = Some(self.config.me);
+        // Synced before anyone is asked: after a restart this keeper must not vote for another.
+        out.push(Output::PersistVote {
+            term: self.term,
+            vote: self.vote,
+        });
+        self.set_role(now, Role::Candidate, out);
+        self.votes = vec![self.config.me];
+        let msg = RaftMsg::Vote {
+            term: self.term,
+            last: (self.log.last_term(), self.log.last_index()),
+        };
+        self.ask_voters(&msg, out);
+        if self.has_votes() {
+            self.take_lead(now, out);
+        }
+    }
+
+    pub(super) fn vote(
+        &mut self,
+        now: Time,
+        from: KeeperId,
+        term: u64,
+        last: (u64, u64),
+        out: &mut Vec<Output>,
+    ) {
+        if self.role == Role::Blank {
+            return;
+        }
+        // As with the question before: a working leader is not deposed.
+        if self.has_leader(now) && self.leader() != Some(from) && term > self.term {
+            return;
+        }
+        self.observe(now, term, None, out);
+        let free = self.vote.is_none() || self.vote == Some(from);
+        let granted = term == self.term && free && self.up_to_date(last);
+        if granted {
+            self.vote = Some(from);
+            self.heard = now;
+            out.push(Output::PersistVote {
+                term,
+                vote: self.vote,
+            });
+        }
+        let term = self.term;
+        self.send(from, RaftMsg::VoteReply { term, granted }, out);
+    }
+
+    pub(super) fn vote_reply(
+        &mut self,
+        now: Time,
+        from: KeeperId,
+        term: u64,
+        granted: bool,
+        out: &mut Vec<Output>,
+    ) {
+        self.observe(now, term, None, out);
+        if self.role != Role::Candidate || term != self.term || !granted {
+            return;
+        }
+        if !self.votes.contains(&from) {
+            self.votes.push(from);
+        }
+        if self.has_votes() {
+            self.take_lead(now, out);
+        }
+    }
+
+    fn take_lead(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.set_role(now, Role::Leader, out);
+        let next = self.log.last_index() + 1;
+        let progress = Progress {
+            next,
+            matched: 0,
+            heard: now,
+            installing: Time::default(),
+        };
+        let others = self.others();
+        self.progress = others.into_iter().map(|keeper| (keeper, progress)).collect();
+        // Entries of earlier terms are committed only together with one of this term.
+        self.propose(now, Payload::Noop, out);
+    }
+}
--- /dev/null
+++ b/crates/celerywinch_store/src/raft/mod.rs
@@ -0,0 +1,330 @@
+//! The state machine of a keeper.
+
+mod append;
+mod election;
+mod group;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use celerywinch_types::{InstanceId, Time};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::log::Log;
+use crate::{Entry, Group, KeeperId, Payload, RaftMsg, Snapshot};
+
+/// What a keeper is told at its start.
+#[derive(Clone, Debug)]
+pub struct RaftConfig {
+    /// This keeper.
+    pub me: KeeperId,
+    /// The instances that are keepers by the settings; all of them form the group at first.
+    pub instances: Vec<InstanceId>,
+    /// Between two heartbeats of the leader.
+    pub heartbeat: Duration,
+    /// The shortest time without a leader before an election; the longest is twice that.
+    pub election: Duration,
+    /// Entries after which a snapshot is made.
+    pub compact_after: usize,
+    /// Seed of the random source.
+    pub seed: u64,
+}
+
+/// What happened outside.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// A message of another keeper.
+    Message(KeeperId, RaftMsg),
+    /// A command to be agreed on; only a leader takes it.
+    Propose(Vec<u8>),
+    /// What the last [`Output::Persist`]s hold has been synced, up to this index.
+    Persisted(u64),
+    /// The state machine's state after the entry `index`, asked for by [`Output::Compact`].
+    State {
+        /// The last entry applied to it.
+        index: u64,
+        /// The state.
+        state: Vec<u8>,
+    },
+    /// Time passed.
+    Tick,
+}
+
+/// What the host is to do, strictly in this order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Write and sync the term and the vote.
+    PersistVote {
+        /// The term.
+        term: u64,
+        /// Who has the vote in it.
+        vote: Option<KeeperId>,
+    },
+    /// Drop the entries from this index on; synced with what follows.
+    Truncate(u64),
+    /// Write and sync entries, then say so by [`Input::Persisted`].
+    Persist(Vec<Entry>),
+    /// Write and sync a snapshot, and drop the entries that it includes.
+    PersistSnapshot(Snapshot),
+    /// Send a message; the keeper's disk is none while it is not known.
+    Send(InstanceId, Option<u64>, RaftMsg),
+    /// Apply a committed entry to the state machine.
+    Apply(Entry),
+    /// Replace the state machine's state.
+    Restore(Snapshot),
+    /// Hand over the state machine's state by [`Input::State`].
+    Compact(u64),
+    /// The role changed.
+    Role(Role),
+}
+
+/// What a keeper does at present.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Has an empty disk and belongs to no group.
+    Blank,
+    /// Follows a leader, if one is known.
+    Follower(Option<KeeperId>),
+    /// Asks whether an election would be of use.
+    PreCandidate,
+    /// Asks for votes.
+    Candidate,
+    /// Leads.
+    Leader,
+}
+
+/// What a leader knows of another keeper.
+#[derive(Clone, Copy, Debug)]
+struct Progress {
+    next: u64,
+    matched: u64,
+    heard: Time,
+    /// A snapshot was sent then; another is not sent until it is overdue.
+    installing: Time,
+}
+
+/// The state machine of a keeper.
+#[derive(Debug)]
+pub struct Raft {
+    config: RaftConfig,
+    term: u64,
+    vote: Option<KeeperId>,
+    log: Log,
+    /// What this keeper has synced.
+    synced: u64,
+    commit: u64,
+    applied: u64,
+    role: Role,
+    /// When the leader was last heard, or the role last changed.
+    heard: Time,
+    timeout: Duration,
+    sent: Time,
+    votes: Vec<KeeperId>,
+    progress: BTreeMap<KeeperId, Progress>,
+    /// Keepers with empty disks that were heard of, by instance.
+    blanks: BTreeMap<InstanceId, group::Blank>,
+    compacting: bool,
+    random: ChaCha8Rng,
+}
+
+/// The most entries in one message.
+const APPEND_MOST: usize = 64;
+
+impl Raft {
+    /// Starts from what the disk holds.
+    #[must_use]
+    pub fn new(
+        config: RaftConfig,
+        now: Time,
+        vote: (u64, Option<KeeperId>),
+        snapshot: Snapshot,
+        entries: Vec<Entry>,
+    ) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(config.seed);
+        let base = snapshot.index;
+        let log = Log::new(snapshot, entries);
+        let blank = log.last_index() == 0;
+        let timeout = config.election.mul_f64(random.random_range(1.0..2.0));
+        Self {
+            term: vote.0,
+            vote: vote.1,
+            synced: log.last_index(),
+            commit: base,
+            applied: base,
+            role: if blank {
+                Role::Blank
+            } else {
+                Role::Follower(None)
+            },
+            heard: now,
+            timeout,
+            sent: Time::default(),
+            votes: Vec::new(),
+            progress: BTreeMap::new(),
+            blanks: BTreeMap::new(),
+            compacting: false,
+            log,
+            random,
+            config,
+        }
+    }
+
+    /// Takes an input and appends what the host is to do.
+    pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
+        match input {
+            Input::Message(from, msg) => self.message(now, from, msg, out),
+            Input::Propose(command) => self.propose(now, Payload::Command(command), out),
+            Input::Persisted(index) => self.persisted(now, index, out),
+            Input::State { index, state } => self.compact(index, state, out),
+            Input::Tick => self.tick(now, out),
+        }
+    }
+
+    /// What this keeper does at present.
+    #[must_use]
+    pub fn role(&self) -> Role {
+        self.role
+    }
+
+    /// The term.
+    #[must_use]
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// How far the log is committed, as far as this keeper knows.
+    #[must_use]
+    pub fn commit(&self) -> u64 {
+        self.commit
+    }
+
+    /// The keepers, by the last entry that names them.
+    #[must_use]
+    pub fn group(&self) -> Group {
+        self.log.group()
+    }
+
+    /// The leader, if one is known.
+    #[must_use]
+    pub fn leader(&self) -> Option<KeeperId> {
+        match self.role {
+            Role::Leader => Some(self.config.me),
+            Role::Follower(leader) => leader,
+            Role::Blank | Role::PreCandidate | Role::Candidate => None,
+        }
+    }
+
+    fn message(&mut self, now: Time, from: KeeperId, msg: RaftMsg, out: &mut Vec<Output>) {
+        match msg {
+            RaftMsg::Hello { formed } => self.hello(now, from, formed, out),
+            RaftMsg::PreVote { term, last } => self.pre_vote(now, from, term, last, out),
+            RaftMsg::PreVoteReply { term, granted } => {
+                self.pre_vote_reply(now, from, term, granted, out);
+            }
+            RaftMsg::Vote { term, last } => self.vote(now, from, term, last, out),
+            RaftMsg::VoteReply { term, granted } => self.vote_reply(now, from, term, granted, out),
+            RaftMsg::Append {
+                term,
+                before,
+                entries,
+                commit,
+            } => self.append(now, from, (term, before, commit), entries, out),
+            RaftMsg::AppendReply { term, index, taken } => {
+                self.append_reply(now, from, (term, index, taken), out);
+            }
+            RaftMsg::Install { term, snapshot } => self.install(now, from, term, snapshot, out),
+        }
+    }
+
+    fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
+        match self.role {
+            Role::Blank => self.look_for_group(now, out),
+            Role::Leader => self.lead(now, out),
+            Role::Follower(_) | Role::PreCandidate | Role::Candidate => {
+                if now.since(self.heard) >= self.timeout {
+                    self.stand(now, out);
+                }
+            }
+        }
+    }
+
+    fn send(&self, to: KeeperId, msg: RaftMsg, out: &mut Vec<Output>) {
+        out.push(Output::Send(to.instance, Some(to.disk), msg));
+    }
+
+    fn others(&self) -> Vec<KeeperId> {
+        let me = self.config.me;
+        self.log.group().all().filter(|keeper| *keeper != me).collect()
+    }
+
+    fn is_voter(&self) -> bool {
+        self.log.group().voters.contains(&self.config.me)
+    }
+
+    fn set_role(&mut self, now: Time, role: Role, out: &mut Vec<Output>) {
+        if self.role == role {
+            return;
+        }
+        self.role = role;
+        self.heard = now;
+        self.votes.clear();
+        let factor = self.random.random_range(1.0..2.0);
+        self.timeout = self.config.election.mul_f64(factor);
+        out.push(Output::Role(role));
+    }
+
+    /// A message shows a later term: follow whoever leads it.
+    fn observe(&mut self, now: Time, term: u64, leader: Option<KeeperId>, out: &mut Vec<Output>) {
+        if term > self.term {
+            self.term = term;
+            self.vote = None;
+            out.push(Output::PersistVote { term, vote: None });
+            self.set_role(now, Role::Follower(leader), out);
+        }
+    }
+
+    fn apply(&mut self, out: &mut Vec<Output>) {
+        while self.applied < self.commit {
+            let Some(entry) = self.log.get(self.applied + 1).cloned() else {
+                return;
+            };
+            self.applied += 1;
+            out.push(Output::Apply(entry));
+        }
+        if self.log.len() > self.config.compact_after && !self.compacting {
+            self.compacting = true;
+            out.push(Output::Compact(self.applied));
+        }
+    }
+
+    fn compact(&mut self, index: u64, state: Vec<u8>, out: &mut Vec<Output>) {
+        self.compacting = false;
+        let Some(term) = self.log.term(index) else {
+            return;
+        };
+        if index <= self.log.snapshot.index || index > self.applied {
+            return;
+        }
+        let snapshot = Snapshot {
+            index,
+            term,
+            group: self.group_at(index),
+            state,
+        };
+        self.log.compact(snapshot.clone());
+        out.push(Output::PersistSnapshot(snapshot));
+    }
+
+    /// The keepers as of an entry that is still in the log.
+    fn group_at(&self, index: u64) -> Group {
+        let first = self.log.snapshot.index + 1;
+        let mut group = self.log.snapshot.group.clone();
+        for at in first..=index {
+            if let Some(Payload::Group(named)) = self.log.get(at).map(|entry| &entry.payload) {
+                group = named.clone();
+            }
+        }
+        group
+    }
+}
