The store in the daemon: changes by operators, in force everywhere, never reverting

Change: a store thread with the keeper and its disk; the leader pushes a committed version, whoever hears of a later one asks for it; a version is held first and put in force when it is saved, or, without a disk, when all living entries of the data centre hold it; an entry is ready only when what it has can be no older than before its start. Left: a measured time to in force everywhere with many entries.

--- a/crates/celerywinch/src/commands/soak.rs
+++ b/crates/celerywinch/src/commands/soak.rs
@@ -25,7 +25,11 @@
     options.optopt("", "seed", "seed of the run; 1 without it", "N");
     options.optopt("", "steps", "events of the run; 200000 without it", "M");
     options.optflag("", "calm", "without faults");
-    options.optflag("", "store", "run the keepers of the catalogue instead of the entries");
+    options.optflag(
+        "",
+        "store",
+        "run the keepers of the catalogue instead of the entries",
+    );
     options.optopt("", "follow", "print all that happens to a key", "KEY");
     let Some(matches) = parse(&mut options, BRIEF, arguments)? else {
         return Ok(ExitStatus::Success);
--- a/crates/celerywinch_bench/src/soak/store.rs
+++ b/crates/celerywinch_bench/src/soak/store.rs
@@ -279,7 +279,10 @@
     fn send(&mut self, from: usize, to: InstanceId, msg: StoreMsg) {
         let target = usize::from(to.0) - 1;
         if target == from {
-            self.after(Duration::from_micros(1), Event::Deliver(from, to, Box::new(msg)));
+            self.after(
+                Duration::from_micros(1),
+                Event::Deliver(from, to, Box::new(msg)),
+            );
             return;
         }
         for delay in self.network.deliveries(from, target, &mut self.random) {
@@ -358,12 +361,7 @@
         }
     }
 
-    fn done(
-        &mut self,
-        index: usize,
-        id: ProposalId,
-        answer: Option<Result<Applied, ApplyError>>,
-    ) {
+    fn done(&mut self, index: usize, id: ProposalId, answer: Option<Result<Applied, ApplyError>>) {
         let Some(waiting) = self.waiting.remove(&(index, id)) else {
             return;
         };
@@ -372,7 +370,11 @@
             self.propose(index, waiting.edit, true);
             return;
         };
-        let name = if answer.is_ok() { "accepted" } else { "conflict" };
+        let name = if answer.is_ok() {
+            "accepted"
+        } else {
+            "conflict"
+        };
         *self.report.replies.entry(name.into()).or_default() += 1;
         self.check_answer(index, &waiting.edit, &answer);
         if !self.ending && !waiting.resend && self.random.random_bool(0.1) {
@@ -381,13 +383,11 @@
         }
     }
 
-    fn check_answer(
-        &mut self,
-        index: usize,
-        edit: &Edit,
-        answer: &Result<Applied, ApplyError>,
-    ) {
-        let first = self.answers.entry(edit.change.clone()).or_insert(answer.clone());
+    fn check_answer(&mut self, index: usize, edit: &Edit, answer: &Result<Applied, ApplyError>) {
+        let first = self
+            .answers
+            .entry(edit.change.clone())
+            .or_insert(answer.clone());
         if first != answer {
             let line = format!("{}: first {first:?}, then {answer:?}", edit.change);
             self.report.violations.push(line);
@@ -395,7 +395,10 @@
         match answer {
             Ok(applied) => {
                 self.seen[index] = self.seen[index].max(applied.version);
-                let winner = self.accepted.entry(applied.version).or_insert(edit.change.clone());
+                let winner = self
+                    .accepted
+                    .entry(applied.version)
+                    .or_insert(edit.change.clone());
                 if *winner != edit.change || applied.version != edit.base + 1 {
                     let line = format!("{} and {winner} both made {applied:?}", edit.change);
                     self.report.violations.push(line);
@@ -409,7 +412,9 @@
                 }
             }
             Err(ApplyError::Invalid(problems)) => {
-                self.report.violations.push(format!("{}: {problems:?}", edit.change));
+                self.report
+                    .violations
+                    .push(format!("{}: {problems:?}", edit.change));
             }
         }
     }
@@ -486,7 +491,9 @@
         let gaps = (1..=newest).filter(|version| !self.documents.contains_key(version));
         let gaps: Vec<_> = gaps.collect();
         if !gaps.is_empty() {
-            self.report.violations.push(format!("versions that no keeper had: {gaps:?}"));
+            self.report
+                .violations
+                .push(format!("versions that no keeper had: {gaps:?}"));
         }
         self.report.starts = newest;
         self.report
--- a/crates/celerywinch_bench/src/soak/world.rs
+++ b/crates/celerywinch_bench/src/soak/world.rs
@@ -322,7 +322,7 @@
             }
             Output::Reply(waiter, reply) => self.reply(node, waiter, &reply),
             Output::Event(event) => self.event(node, &event),
-            Output::Probe(_) | Output::Abort(_) => {}
+            Output::Save(_) | Output::Probe(_) | Output::Abort(_) => {}
         }
     }
 
--- a/crates/celerywinch_entry/src/config.rs
+++ b/crates/celerywinch_entry/src/config.rs
@@ -19,6 +19,8 @@
     pub(crate) timing: Timing,
     pub(crate) policy: Policy,
     pub(crate) margin: Duration,
+    pub(crate) keepers: Vec<InstanceId>,
+    pub(crate) durable: bool,
 }
 
 /// Builds a [`Config`].
@@ -50,6 +52,8 @@
             timing: Timing::default(),
             policy: Policy::default(),
             margin: Duration::from_millis(3),
+            keepers: Vec::new(),
+            durable: false,
         })
     }
 
@@ -74,6 +78,20 @@
         self
     }
 
+    /// The keepers of the catalogue; without any, what the host hands over is in force at once.
+    #[must_use]
+    pub fn keepers(mut self, keepers: Vec<InstanceId>) -> Self {
+        self.0.keepers = keepers;
+        self
+    }
+
+    /// Whether the host saves catalogues on a disk that outlives the process.
+    #[must_use]
+    pub fn durable(mut self, durable: bool) -> Self {
+        self.0.durable = durable;
+        self
+    }
+
     /// How endpoints are chosen.
     #[must_use]
     pub fn policy(mut self, policy: Policy) -> Self {
--- a/crates/celerywinch_entry/src/entry.rs
+++ b/crates/celerywinch_entry/src/entry.rs
@@ -15,6 +15,7 @@
 use rand_chacha::ChaCha8Rng;
 use slotmap::SlotMap;
 
+use crate::catalogues::Holding;
 use crate::job::{Job, Phase, Waiter};
 use crate::tasks::OpenCall;
 use crate::{CallId, Config, Event, Input, Invariant, Output, Reply};
@@ -54,6 +55,8 @@
     pub records: usize,
     /// Version of the catalogue in force.
     pub catalogue: u64,
+    /// Whether this entry may serve by it.
+    pub current: bool,
     /// Whether a planned stop is under way.
     pub stopping: bool,
     /// Assertions that failed.
@@ -66,6 +69,7 @@
     pub(crate) config: Config,
     pub(crate) homes: Homes,
     pub(crate) catalogue: Arc<Catalogue>,
+    pub(crate) holding: Holding,
     pub(crate) replicas: BTreeMap<DataCentreId, Replica>,
     pub(crate) peers: Peers,
     pub(crate) endpoints: Endpoints,
@@ -112,6 +116,7 @@
             timers,
             config,
             catalogue: Arc::new(Catalogue::default()),
+            holding: Holding::default(),
             endpoints: Endpoints::default(),
             jobs: SlotMap::with_key(),
             by_key: HashMap::new(),
@@ -142,7 +147,9 @@
             Input::PeerGone(id) => self.peer_gone(now, id, out),
             Input::Announce(note) => self.announce(now, note, out),
             Input::CallEnded(id, end) => self.call_ended(now, id, end, out),
-            Input::Catalogue(catalogue) => self.set_catalogue(catalogue, out),
+            Input::Catalogue(catalogue) => self.start_catalogue(catalogue, out),
+            Input::Committed(catalogue, leads) => self.committed(now, catalogue, leads, out),
+            Input::Saved(version) => self.saved(now, version, out),
             Input::Stop => self.stop(out),
             Input::Tick => {}
         }
@@ -167,6 +174,7 @@
             suspended,
             records: self.replicas.values().map(Replica::len).sum(),
             catalogue: self.catalogue.version(),
+            current: self.holding.current,
             stopping: self.stopping,
             violations: self.violations,
         }
@@ -184,6 +192,18 @@
         &self.endpoints
     }
 
+    /// The catalogue in force.
+    #[must_use]
+    pub fn catalogue(&self) -> &Arc<Catalogue> {
+        &self.catalogue
+    }
+
+    /// Whether this entry may serve by the catalogue in force.
+    #[must_use]
+    pub fn is_current(&self) -> bool {
+        self.holding.current
+    }
+
     /// Whether a planned stop has nothing left to wait for.
     #[must_use]
     pub fn drained(&self) -> bool {
@@ -217,19 +237,6 @@
         out.push(Output::Event(Event::Violation { invariant, detail }));
     }
 
-    fn set_catalogue(&mut self, catalogue: Arc<Catalogue>, out: &mut Vec<Output>) {
-        let holds = catalogue.version() >= self.catalogue.version();
-        let detail = || format!("version {} was offered", catalogue.version());
-        self.assert(holds, Invariant::NoRevert, detail, out);
-        if catalogue.version() <= self.catalogue.version() {
-            return;
-        }
-        let version = catalogue.version();
-        self.dispatch.set_catalogue(&catalogue);
-        self.catalogue = catalogue;
-        out.push(Output::Event(Event::Catalogue { version }));
-    }
-
     fn stop(&mut self, out: &mut Vec<Output>) {
         self.stopping = true;
         let open = u32::try_from(self.jobs.len()).unwrap_or(u32::MAX);
@@ -270,6 +277,7 @@
             self.give_up(now, job, out);
         }
         self.trade_slots(now, out);
+        self.tend_catalogue(now, out);
     }
 
     /// Answers everyone who waits for a job and forgets it.
--- a/crates/celerywinch_entry/src/io.rs
+++ b/crates/celerywinch_entry/src/io.rs
@@ -38,8 +38,13 @@
     Announce(EndpointNote),
     /// A call ended.
     CallEnded(CallId, CallEnd),
-    /// A catalogue is in force.
+    /// A catalogue that was in force before, from the own disk, or one given at the start.
     Catalogue(Arc<Catalogue>),
+    /// The store here committed a catalogue; the flag tells whether this is the leader, and so the
+    /// one to spread it.
+    Committed(Arc<Catalogue>, bool),
+    /// A catalogue of this version, asked for by [`Output::Save`], is on the disk.
+    Saved(u64),
     /// A planned stop: take no new work, finish what there is.
     Stop,
     /// Time passed.
@@ -127,6 +132,8 @@
 pub enum Output {
     /// Send a message.
     Send(InstanceId, PeerMsg),
+    /// Save a catalogue so that it outlives the process, then say so by [`Input::Saved`].
+    Save(Arc<Catalogue>),
     /// Open a new connection to a silent instance and replace the old one if it answers.
     Probe(InstanceId),
     /// Send a task to an endpoint, once.
--- a/crates/celerywinch_entry/src/lib.rs
+++ b/crates/celerywinch_entry/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`Input::Tick`] comes at least every few milliseconds while there is work.
 
 mod cancel;
+mod catalogues;
 mod claims;
 mod config;
 mod entry;
--- a/crates/celerywinch_entry/src/members.rs
+++ b/crates/celerywinch_entry/src/members.rs
@@ -95,7 +95,7 @@
         self.dispatch.set_owners(owners);
     }
 
-    fn beat(&mut self, now: Time, peer: InstanceId, out: &mut Vec<Output>) {
+    pub(crate) fn beat(&mut self, now: Time, peer: InstanceId, out: &mut Vec<Output>) {
         let Some((echo, hears, knows)) = self.peers.beat(now, peer) else {
             return;
         };
@@ -108,6 +108,8 @@
             hears,
             knows,
             catalogue: self.catalogue.version(),
+            held: self.held_version(),
+            current: self.holding.current,
             stopping: self.stopping,
             queued: u32::try_from(self.dispatch.queued()).unwrap_or(u32::MAX),
         };
@@ -122,6 +124,7 @@
                 self.check_clock(wall, beat.wall);
                 self.peers.heartbeat(now, wall, from, &beat);
                 self.refresh_owners();
+                self.compare_catalogues(now, from, out);
             }
             MemberMsg::Endpoints(notes) => self.notes_heard(now, notes, out),
             MemberMsg::Renewals(renewals) => self.renewals_heard(now, from, renewals, out),
@@ -129,6 +132,10 @@
                 let msg = MemberMsg::Endpoints(self.endpoints.notes(now));
                 out.push(Output::Send(from, PeerMsg::Member(msg)));
             }
+            MemberMsg::CatalogueWanted => self.send_catalogue(from, out),
+            MemberMsg::Catalogue { version, document } => {
+                self.catalogue_heard(now, version, &document, out);
+            }
             MemberMsg::Bye => {
                 self.peers.bye(from);
                 self.refresh_owners();
@@ -167,7 +174,7 @@
         }
     }
 
-    fn local_peers(&self) -> Vec<InstanceId> {
+    pub(crate) fn local_peers(&self) -> Vec<InstanceId> {
         self.peers.local().map(|(id, _)| id).collect()
     }
 
--- a/crates/celerywinch_keeper/src/keeper.rs
+++ b/crates/celerywinch_keeper/src/keeper.rs
@@ -207,7 +207,11 @@
 
     fn lose_pending(&mut self, out: &mut Vec<KeeperOutput>) {
         for (_, pending) in std::mem::take(&mut self.pending) {
-            out.push(KeeperOutput::Answer(pending.from, pending.id, Answer::Unsure));
+            out.push(KeeperOutput::Answer(
+                pending.from,
+                pending.id,
+                Answer::Unsure,
+            ));
         }
     }
 
--- a/crates/celerywinch_keeper/src/proposer.rs
+++ b/crates/celerywinch_keeper/src/proposer.rs
@@ -137,7 +137,9 @@
             if open.next > now {
                 continue;
             }
-            let target = self.leader.or_else(|| self.keepers.choose(&mut self.random).copied());
+            let target = self
+                .leader
+                .or_else(|| self.keepers.choose(&mut self.random).copied());
             let Some(target) = target else {
                 continue;
             };
@@ -145,7 +147,10 @@
             // A leader that does not answer in time may be gone.
             self.leader = None;
             let edit = open.edit.clone();
-            out.push(ProposerOutput::Send(target, StoreMsg::Propose { id: *id, edit }));
+            out.push(ProposerOutput::Send(
+                target,
+                StoreMsg::Propose { id: *id, edit },
+            ));
         }
     }
 }
--- a/crates/celerywinch_members/src/peers.rs
+++ b/crates/celerywinch_members/src/peers.rs
@@ -59,6 +59,12 @@
     pub stopping: bool,
     /// Version of the catalogue in force there.
     pub catalogue: u64,
+    /// Version of the catalogue that it holds and will put in force.
+    pub held: u64,
+    /// Whether it may serve by what it has in force.
+    pub current: bool,
+    /// Whether a heartbeat of its present life was heard.
+    pub met: bool,
     /// Tasks waiting there for a slot.
     pub queued: u32,
     /// Its wall clock minus ours, in milliseconds, at the last heartbeat.
@@ -160,6 +166,7 @@
             peer.incarnation = incarnation;
             peer.stopping = false;
             peer.sequence = 0;
+            peer.met = false;
             if !first {
                 changes.push(PeerChange::Restarted(from, incarnation));
             }
@@ -183,6 +190,9 @@
         peer.hears = beat.hears;
         peer.stopping = beat.stopping;
         peer.catalogue = beat.catalogue;
+        peer.held = beat.held;
+        peer.current = beat.current;
+        peer.met = true;
         peer.queued = beat.queued;
         peer.skew = wall_difference(beat.wall, wall);
         peer.round_trip = beat.echo.map(|sent| now.since(sent));
@@ -257,6 +267,9 @@
             hears: false,
             stopping: false,
             catalogue: 0,
+            held: 0,
+            current: false,
+            met: false,
             queued: 0,
             skew: 0,
             round_trip: None,
--- a/crates/celerywinch_node/src/core.rs
+++ b/crates/celerywinch_node/src/core.rs
@@ -7,7 +7,7 @@
 
 use celerywinch_entry::{Entry, Event, Input, Output, Reply, WaiterId};
 use celerywinch_members::PeerState;
-use celerywinch_types::Time;
+use celerywinch_types::{PeerMsg, Time};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::oneshot;
 
@@ -15,6 +15,7 @@
 use crate::calls::Calls;
 use crate::links::Links;
 use crate::shared::{CoreMsg, EndpointLine, Figures, PeerLine, Shared, StatusPage};
+use crate::store::StoreIn;
 use crate::timeline::Timeline;
 
 /// The most messages handled before what they led to is sent.
@@ -70,7 +71,15 @@
             CoreMsg::Submit(submission, reply) => Input::Submit(self.waiter(reply), submission),
             CoreMsg::Lookup(key, reply) => Input::Lookup(self.waiter(reply), key),
             CoreMsg::Cancel(keys, reply) => Input::Cancel(self.waiter(reply), keys),
+            CoreMsg::Input(Input::Peer(from, PeerMsg::Store(bytes))) => {
+                let _ = self.shared.store.send(StoreIn::Peer(from.instance, bytes));
+                return;
+            }
             CoreMsg::Input(input) => input,
+            CoreMsg::Send(peer, msg) => {
+                self.links.send(peer, msg);
+                return;
+            }
             CoreMsg::Figures(reply) => {
                 let _ = reply.send(self.entry.status());
                 return;
@@ -80,9 +89,6 @@
                 return;
             }
         };
-        if let Input::Catalogue(catalogue) = &input {
-            self.shared.catalogue.store(catalogue.clone());
-        }
         if let Input::CallEnded(id, _) = &input {
             self.calls.ended(*id);
         }
@@ -103,6 +109,9 @@
         for output in out.drain(..) {
             match output {
                 Output::Send(peer, msg) => self.links.send(peer, msg),
+                Output::Save(catalogue) => {
+                    let _ = self.shared.store.send(StoreIn::Save(catalogue));
+                }
                 Output::Probe(peer) => self.links.probe(peer),
                 Output::Start(call) => self.calls.start(call),
                 Output::Abort(id) => self.calls.abort(id),
@@ -116,6 +125,19 @@
             }
         }
         self.calls.flush_aborts();
+        self.publish();
+    }
+
+    /// Shows the threads that serve HTTP what is in force.
+    fn publish(&self) {
+        let catalogue = self.entry.catalogue();
+        if catalogue.version() != self.shared.catalogue.load().version() {
+            self.shared.catalogue.store(catalogue.clone());
+        }
+        let current = self.entry.is_current();
+        if current != self.shared.current.load(Ordering::Relaxed) {
+            self.shared.current.store(current, Ordering::Release);
+        }
     }
 
     fn event(&self, event: Event) {
@@ -125,11 +147,13 @@
 
     fn status(&self) -> StatusPage {
         let status = self.entry.status();
+        let now = self.clock.now();
         let peers = self.entry.peers().iter().map(|(id, peer)| PeerLine {
             instance: id.0,
             state: peer_state(peer.state).into(),
             hears_us: peer.hears,
             catalogue_version: peer.catalogue,
+            heard_ms_ago: u64::try_from(now.since(peer.heard).as_millis()).unwrap_or(0),
             round_trip_us: peer
                 .round_trip
                 .and_then(|span| u64::try_from(span.as_micros()).ok()),
--- a/crates/celerywinch_node/src/http/problem.rs
+++ b/crates/celerywinch_node/src/http/problem.rs
@@ -93,7 +93,8 @@
     }
 
     pub(crate) fn response(&self) -> HttpResponse {
-        let status = StatusCode::from_u16(self.0.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let status =
+            StatusCode::from_u16(self.0.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
         let mut response = HttpResponse::build(status);
         response.content_type("application/problem+json");
         if let Some(millis) = self.0.retry_after_ms {
--- a/crates/celerywinch_node/src/lib.rs
+++ b/crates/celerywinch_node/src/lib.rs
@@ -13,6 +13,7 @@
 mod metrics;
 mod node;
 mod shared;
+mod store;
 mod timeline;
 
 pub use clock::Clock;
--- a/crates/celerywinch_node/src/node.rs
+++ b/crates/celerywinch_node/src/node.rs
@@ -4,6 +4,7 @@
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64};
+use std::sync::mpsc::{Receiver, channel};
 use std::time::Instant;
 
 use anyhow::Context;
@@ -11,7 +12,7 @@
 use celerywinch_catalogue::{Catalogue, Document};
 use celerywinch_entry::{ConfigBuilder, Entry, Input};
 use celerywinch_settings::{Settings, load_catalogue};
-use celerywinch_types::{Incarnation, Process};
+use celerywinch_types::{Incarnation, InstanceId, Process};
 use ntex::rt::Arbiter;
 use ntex::server::Server;
 use ntex::time::Seconds;
@@ -24,6 +25,7 @@
 use crate::links::{LinkContext, Links, listen};
 use crate::metrics::Metrics;
 use crate::shared::{Bound, CoreMsg, Shared};
+use crate::store::{self, StoreIn, StoreOptions};
 use crate::timeline::Timeline;
 use crate::{Clock, http};
 
@@ -74,11 +76,14 @@
             operators: operators.local_addr()?,
         };
         let (core, inbox) = unbounded_channel();
+        let (store, store_inbox) = channel();
         let shared = Arc::new(Shared {
             me,
             catalogue: ArcSwap::default(),
             metrics: metrics.clone(),
             core: core.clone(),
+            store,
+            current: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             announcements: AtomicU64::new(0),
             remembers_from: Instant::now() + settings.limits.skew,
@@ -92,8 +97,13 @@
             metrics,
             timeline,
         };
+        start_store(
+            &shared,
+            context.clock.clone(),
+            options.catalogue,
+            store_inbox,
+        )?;
         let done = start_core(shared.clone(), context, peers, inbox)?;
-        put_first_catalogue(&shared, options.catalogue)?;
         let servers = vec![
             serve(&shared, callers, Surface::Callers)?,
             serve(&shared, endpoints, Surface::Endpoints)?,
@@ -173,6 +183,8 @@
     let config = ConfigBuilder::new(shared.me, settings.me.dc, Clock::wall(), settings.layout())
         .seed(shared.me.incarnation.0 ^ u64::from(shared.me.instance.0))
         .limits(settings.limits)
+        .keepers(keepers(settings))
+        .durable(settings.data_folder.is_some())
         .build();
     let core = Core {
         entry: Entry::new(config, clock.now()),
@@ -188,17 +200,40 @@
     let _ = done.send(());
 }
 
-fn put_first_catalogue(shared: &Arc<Shared>, given: Option<Document>) -> anyhow::Result<()> {
-    let document = match (given, &shared.settings.first_catalogue) {
-        (Some(document), _) => document,
-        (None, Some(file)) => load_catalogue(file)?,
-        (None, None) => return Ok(()),
+/// The first catalogue, and the store's thread; a system without keepers has it in force at once.
+fn start_store(
+    shared: &Arc<Shared>,
+    clock: Arc<Clock>,
+    given: Option<Document>,
+    inbox: Receiver<StoreIn>,
+) -> anyhow::Result<()> {
+    let settings = &shared.settings;
+    let document = match (given, &settings.first_catalogue) {
+        (Some(document), _) => Some(document),
+        (None, Some(file)) => Some(load_catalogue(file)?),
+        (None, None) => None,
+    };
+    let keepers = keepers(settings);
+    if let (true, Some(document)) = (keepers.is_empty(), document.clone()) {
+        let catalogue = Catalogue::check(1, document)
+            .map_err(|problems| anyhow::anyhow!("catalogue: {problems:?}"))?;
+        let msg = CoreMsg::Input(Input::Catalogue(Arc::new(catalogue)));
+        shared.core.send(msg).context("core: ended at its start")?;
+    }
+    let options = StoreOptions {
+        me: shared.me,
+        keepers,
+        data_folder: settings.data_folder.clone(),
+        first_catalogue: document,
+        clock,
+        core: shared.core.clone(),
     };
-    let catalogue = Catalogue::check(1, document)
-        .map_err(|problems| anyhow::anyhow!("catalogue: {problems:?}"))?;
-    let msg = CoreMsg::Input(Input::Catalogue(Arc::new(catalogue)));
-    shared.core.send(msg).context("core: ended at its start")?;
-    Ok(())
+    store::start(options, inbox)
+}
+
+fn keepers(settings: &Settings) -> Vec<InstanceId> {
+    let keepers = settings.instances.iter().filter(|one| one.keeper);
+    keepers.map(|one| one.id).collect()
 }
 
 /// Which routes a listener offers.
--- a/crates/celerywinch_node/src/shared.rs
+++ b/crates/celerywinch_node/src/shared.rs
@@ -3,18 +3,20 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::mpsc::Sender;
 use std::time::Instant;
 
 use arc_swap::ArcSwap;
 use celerywinch_catalogue::Catalogue;
 use celerywinch_entry::{Input, Reply, Status};
 use celerywinch_settings::Settings;
-use celerywinch_types::{Key, Process, Submission};
+use celerywinch_types::{InstanceId, Key, PeerMsg, Process, Submission};
 use serde::Serialize;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 
 use crate::metrics::Metrics;
+use crate::store::StoreIn;
 
 /// What the core is asked.
 #[derive(Debug)]
@@ -23,6 +25,7 @@
     Lookup(Key, oneshot::Sender<Reply>),
     Cancel(Vec<Key>, oneshot::Sender<Reply>),
     Input(Input),
+    Send(InstanceId, PeerMsg),
     Status(oneshot::Sender<StatusPage>),
     Figures(oneshot::Sender<Status>),
 }
@@ -73,6 +76,7 @@
     pub(crate) state: String,
     pub(crate) hears_us: bool,
     pub(crate) catalogue_version: u64,
+    pub(crate) heard_ms_ago: u64,
     pub(crate) round_trip_us: Option<u64>,
 }
 
@@ -104,7 +108,10 @@
     pub(crate) catalogue: ArcSwap<Catalogue>,
     pub(crate) metrics: Metrics,
     pub(crate) core: UnboundedSender<CoreMsg>,
+    pub(crate) store: Sender<StoreIn>,
     pub(crate) stopping: AtomicBool,
+    /// Whether the catalogue in force is no older than it was before this process started.
+    pub(crate) current: AtomicBool,
     pub(crate) announcements: AtomicU64,
     /// When the replicas here stop to abstain on keys that are new.
     pub(crate) remembers_from: Instant,
@@ -117,7 +124,7 @@
     /// callers to come back.
     pub(crate) fn ready(&self) -> bool {
         !self.stopping.load(Ordering::Acquire)
-            && self.catalogue.load().version() > 0
+            && self.current.load(Ordering::Acquire)
             && Instant::now() >= self.remembers_from
     }
 
--- a/crates/celerywinch_standin/src/caller.rs
+++ b/crates/celerywinch_standin/src/caller.rs
@@ -118,6 +118,26 @@
         read(response).await
     }
 
+    /// Puts a body, as an operator.
+    ///
+    /// # Errors
+    ///
+    /// The connection was refused or lost, or the wait was over.
+    pub async fn put(
+        &self,
+        entry: SocketAddr,
+        path: &str,
+        secret: &str,
+        body: &Value,
+    ) -> anyhow::Result<Response> {
+        let request = self
+            .client
+            .put(format!("http://{entry}{path}"))
+            .header("authorization", format!("Bearer {secret}"))
+            .timeout(Millis(12_000));
+        read(request.send_json(body).await).await
+    }
+
     /// Gets a page, with the operators' secret if there is one.
     ///
     /// # Errors
--- a/crates/celerywinch_store/src/disk.rs
+++ b/crates/celerywinch_store/src/disk.rs
@@ -280,12 +280,41 @@
 }
 
 fn load_snapshot(folder: &Path) -> Result<Snapshot, DiskError> {
-    let path = folder.join(SNAPSHOT);
+    Ok(load_file(folder, SNAPSHOT)?.unwrap_or_default())
+}
+
+fn open_identity(folder: &Path, fresh: u64) -> Result<u64, DiskError> {
+    if let Some(identity) = load_file(folder, IDENTITY)? {
+        return Ok(identity);
+    }
+    save_file(folder, IDENTITY, &fresh)?;
+    Ok(fresh)
+}
+
+/// Saves a value with a checksum so that it outlives the process, or leaves what was there.
+///
+/// # Errors
+///
+/// The file cannot be written or synced.
+pub fn save_file<T: Serialize>(folder: &Path, name: &str, value: &T) -> Result<(), DiskError> {
+    at("make the folder", folder, fs::create_dir_all(folder))?;
+    let mut bytes = Vec::new();
+    encode(&mut bytes, value);
+    replace(folder, name, &bytes)
+}
+
+/// Loads what [`save_file`] saved; none if there is no such file.
+///
+/// # Errors
+///
+/// The file cannot be read or is damaged.
+pub fn load_file<T: DeserializeOwned>(folder: &Path, name: &str) -> Result<Option<T>, DiskError> {
+    let path = folder.join(name);
     let Some(bytes) = read(&path)? else {
-        return Ok(Snapshot::default());
+        return Ok(None);
     };
     match decode(&bytes) {
-        Some((snapshot, _)) => Ok(snapshot),
+        Some((value, _)) => Ok(Some(value)),
         None => Err(DiskError::Damaged {
             file: path,
             offset: 0,
@@ -293,25 +322,6 @@
     }
 }
 
-fn open_identity(folder: &Path, fresh: u64) -> Result<u64, DiskError> {
-    let path = folder.join(IDENTITY);
-    match read(&path)? {
-        Some(bytes) => match decode(&bytes) {
-            Some((identity, _)) => Ok(identity),
-            None => Err(DiskError::Damaged {
-                file: path,
-                offset: 0,
-            }),
-        },
-        None => {
-            let mut bytes = Vec::new();
-            encode(&mut bytes, &fresh);
-            replace(folder, IDENTITY, &bytes)?;
-            Ok(fresh)
-        }
-    }
-}
-
 /// Puts a whole file in the place of another, or leaves the other.
 fn replace(folder: &Path, name: &str, bytes: &[u8]) -> Result<(), DiskError> {
     let path = folder.join(name);
--- a/crates/celerywinch_store/src/log.rs
+++ b/crates/celerywinch_store/src/log.rs
@@ -116,7 +116,12 @@
         let Some(start) = self.position(index) else {
             return Vec::new();
         };
-        self.entries.iter().skip(start).take(most).cloned().collect()
+        self.entries
+            .iter()
+            .skip(start)
+            .take(most)
+            .cloned()
+            .collect()
     }
 
     pub(crate) fn push(&mut self, entry: Entry) {
@@ -147,10 +152,14 @@
 
     /// The keepers by the last entry that names them, committed or not.
     pub(crate) fn group(&self) -> Group {
-        let named = self.entries.iter().rev().find_map(|entry| match &entry.payload {
-            Payload::Group(group) => Some(group.clone()),
-            Payload::Noop | Payload::Command(_) => None,
-        });
+        let named = self
+            .entries
+            .iter()
+            .rev()
+            .find_map(|entry| match &entry.payload {
+                Payload::Group(group) => Some(group.clone()),
+                Payload::Noop | Payload::Command(_) => None,
+            });
         named.unwrap_or_else(|| self.snapshot.group.clone())
     }
 
--- a/crates/celerywinch_store/src/raft/election.rs
+++ b/crates/celerywinch_store/src/raft/election.rs
@@ -175,7 +175,10 @@
             installing: Time::default(),
         };
         let others = self.others();
-        self.progress = others.into_iter().map(|keeper| (keeper, progress)).collect();
+        self.progress = others
+            .into_iter()
+            .map(|keeper| (keeper, progress))
+            .collect();
         // Entries of earlier terms are committed only together with one of this term.
         self.propose(now, Payload::Noop, out);
     }
--- a/crates/celerywinch_store/src/raft/group.rs
+++ b/crates/celerywinch_store/src/raft/group.rs
@@ -84,13 +84,7 @@
         self.propose(now, Payload::Noop, out);
     }
 
-    pub(super) fn hello(
-        &mut self,
-        now: Time,
-        from: KeeperId,
-        formed: bool,
-        out: &mut Vec<Output>,
-    ) {
+    pub(super) fn hello(&mut self, now: Time, from: KeeperId, formed: bool, out: &mut Vec<Output>) {
         if formed {
             self.blanks.remove(&from.instance);
             return;
@@ -114,9 +108,10 @@
     /// Keepers with empty disks that were heard several times lately. One late message of a disk
     /// that is long in use, or gone, is not enough.
     fn present_blanks(&self, now: Time) -> Vec<KeeperId> {
-        let present = self.blanks.values().filter(|blank| {
-            blank.count >= BLANK_HELLOS && now.since(blank.heard) <= BLANK_MEMORY
-        });
+        let present = self
+            .blanks
+            .values()
+            .filter(|blank| blank.count >= BLANK_HELLOS && now.since(blank.heard) <= BLANK_MEMORY);
         present.map(|blank| blank.keeper).collect()
     }
 
--- a/crates/celerywinch_store/src/raft/mod.rs
+++ b/crates/celerywinch_store/src/raft/mod.rs
@@ -255,7 +255,11 @@
 
     fn others(&self) -> Vec<KeeperId> {
         let me = self.config.me;
-        self.log.group().all().filter(|keeper| *keeper != me).collect()
+        self.log
+            .group()
+            .all()
+            .filter(|keeper| *keeper != me)
+            .collect()
     }
 
     fn is_voter(&self) -> bool {
--- a/crates/celerywinch_types/src/message.rs
+++ b/crates/celerywinch_types/src/message.rs
@@ -165,6 +165,10 @@
         pub knows: Incarnation,
         /// Version of the catalogue in force at the sender.
         pub catalogue: u64,
+        /// Version that the sender holds and will put in force.
+        pub held: u64,
+        /// Whether the sender may serve by what it has in force.
+        pub current: bool,
         /// Whether the sender is stopping.
         pub stopping: bool,
         /// Tasks waiting for a slot at the sender.
@@ -194,6 +198,15 @@
         Renewals(Vec<Renewal>),
         /// Asks for all endpoints the receiver knows.
         EndpointsWanted,
+        /// Asks for the catalogue that the receiver holds.
+        CatalogueWanted,
+        /// A catalogue, in JSON.
+        Catalogue {
+            /// Its version.
+            version: u64,
+            /// The document.
+            document: Vec<u8>,
+        },
         /// A stopping entry takes its leave: its claims are handed over or done.
         Bye,
     }
--- a/crates/celerywinchd/tests/harness/mod.rs
+++ b/crates/celerywinchd/tests/harness/mod.rs
@@ -1,6 +1,6 @@
 //! Real processes of the daemon, stand-in endpoints and a caller, for tests under failure.
 
-#![allow(dead_code, reason = "every test file uses a part of it")]
+#![allow(dead_code, unreachable_pub, reason = "every test file uses a part of it")]
 
 use std::collections::HashMap;
 use std::fs;
@@ -35,6 +35,8 @@
     pub window_ms: u64,
     /// The first this many instances are keepers.
     pub keepers: usize,
+    /// Instances without a disk.
+    pub diskless: &'static [usize],
 }
 
 impl Default for Plan {
@@ -46,6 +48,7 @@
             relays: false,
             window_ms: 30_000,
             keepers: 0,
+            diskless: &[],
         }
     }
 }
@@ -190,6 +193,81 @@
             .await
     }
 
+    /// Changes the catalogue as an operator at a process.
+    pub async fn edit(
+        &self,
+        index: usize,
+        change: &str,
+        base: u64,
+        team: &str,
+    ) -> anyhow::Result<Response> {
+        let mut catalogue = self.catalogue(index).await?["catalogue"].clone();
+        catalogue["teams"][team] = json!({ "quota": 1 });
+        let body = json!({ "change": change, "base": base, "document": catalogue });
+        let operators = self.processes[index].operators;
+        self.caller
+            .put(operators, "/v1/catalogue", SECRET, &body)
+            .await
+    }
+
+    /// The catalogue in force at a process, with its version.
+    pub async fn catalogue(&self, index: usize) -> anyhow::Result<Value> {
+        let operators = self.processes[index].operators;
+        let response = self
+            .caller
+            .get(operators, "/v1/catalogue", Some(SECRET))
+            .await?;
+        Ok(response.body)
+    }
+
+    /// The version in force at a process; 0 if it does not answer.
+    pub async fn version(&self, index: usize) -> u64 {
+        let catalogue = self.catalogue(index).await.unwrap_or_default();
+        catalogue["version"].as_u64().unwrap_or(0)
+    }
+
+    /// Waits until a version, or a later one, is in force at these processes.
+    pub async fn in_force(&self, at: &[usize], version: u64, limit_ms: u64) -> anyhow::Result<()> {
+        for index in at {
+            self.wait_status(*index, Duration::from_millis(limit_ms), |page| {
+                page["catalogue_version"].as_u64().unwrap_or(0) >= version
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
+    /// The process whose keeper leads.
+    pub async fn leader(&self, among: &[usize]) -> anyhow::Result<usize> {
+        for _ in 0..400 {
+            for index in among {
+                let operators = self.processes[*index].operators;
+                let page = self.caller.get(operators, "/v1/keeper", Some(SECRET)).await;
+                if page.is_ok_and(|page| page.body["role"] == "leader") {
+                    return Ok(*index);
+                }
+            }
+            sleep(25).await;
+        }
+        anyhow::bail!("no keeper leads")
+    }
+
+    /// The keeper's page of a process.
+    pub async fn keeper(&self, index: usize) -> anyhow::Result<Value> {
+        let operators = self.processes[index].operators;
+        let response = self
+            .caller
+            .get(operators, "/v1/keeper", Some(SECRET))
+            .await?;
+        Ok(response.body)
+    }
+
+    /// Removes everything that a process has on its disk.
+    pub fn lose_disk(&self, index: usize) -> anyhow::Result<()> {
+        fs::remove_dir_all(self.folder.path().join(format!("data-{index}")))?;
+        Ok(())
+    }
+
     /// A key whose home is the data centre of a process.
     pub(crate) fn key(&self, index: usize) -> String {
         fresh_key(Some(self.processes[index].dc))
@@ -342,7 +420,7 @@
 ) -> String {
     let mut text = format!(
         "instance: {}\nroles: [entry{}]\ncallers: {}\nendpoints: {}\noperators: {}\n\
-         secret_file: secret\ndata_folder: data-{me}\ntimeline_file: timeline-{me}.jsonl\n\
+         secret_file: secret\n{}timeline_file: timeline-{me}.jsonl\n\
          first_catalogue: catalogue.yaml\nhttp_threads: 1\nlimits:\n  window_ms: {}\n\
          data_centres:\n",
         me + 1,
@@ -350,6 +428,11 @@
         process.callers,
         process.endpoints,
         process.operators,
+        if plan.diskless.contains(&me) {
+            String::new()
+        } else {
+            format!("data_folder: data-{me}\n")
+        },
         plan.window_ms,
     );
     for (number, (name, _)) in plan.dcs.iter().enumerate() {
