--- a/crates/celerywinch_standin/src/fleet.rs
+++ b/crates/celerywinch_standin/src/fleet.rs
@@ -235,6 +235,9 @@
     /// Whether it fails.
     #[serde(default)]
     fail: bool,
+    /// Given back with the result.
+    #[serde(default)]
+    echo: serde_json::Value,
 }
 
 /// A slot that is in use.
@@ -303,7 +306,7 @@
         return HttpResponse::UnprocessableEntity().body("the task says so");
     }
     inner.ledger.finished.fetch_add(1, Ordering::Relaxed);
-    HttpResponse::Ok().json(&json!({ "task": task, "starts": count }))
+    HttpResponse::Ok().json(&json!({ "task": task, "starts": count, "echo": script.echo }))
 }
 
 fn not_run(why: &str) -> HttpResponse {
--- a/crates/celerywinchd/tests/harness/mod.rs
+++ b/crates/celerywinchd/tests/harness/mod.rs
@@ -1,6 +1,10 @@
 //! Real processes of the daemon, stand-in endpoints and a caller, for tests under failure.
 
-#![allow(dead_code, unreachable_pub, reason = "every test file uses a part of it")]
+#![allow(
+    dead_code,
+    unreachable_pub,
+    reason = "every test file uses a part of it"
+)]
 
 use std::collections::HashMap;
 use std::fs;
@@ -8,6 +12,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use celerywinch_standin::{Caller, EndpointPlan, Fleet, FleetPlan, Relay, Response, fresh_key};
@@ -83,9 +88,23 @@
     }
 }
 
+/// Where the ports of the tests begin: below those that the system gives out by itself, so that no
+/// connection takes one between its choice and the start of the process that is to listen on it.
+const FIRST_PORT: u16 = 12_000;
+/// How many ports there are.
+const PORTS: u32 = 18_000;
+
+/// A port that nothing listens on, and that no other test of this run gets.
 fn free_port() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    listener.local_addr().expect("it is bound")
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let number = std::process::id() * 211 + NEXT.fetch_add(1, Ordering::Relaxed);
+        let offset = u16::try_from(number % PORTS).expect("the range fits");
+        let addr = SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + offset));
+        if TcpListener::bind(addr).is_ok() {
+            return addr;
+        }
+    }
 }
 
 impl World {
