Operators' commands, time line, bench and slopes

Change: status, catalogue get/diff/apply/where, timeline as text and page, bench with scenarios and baselines in an open loop, slopes of what control costs; a small client crate shared by commands and stand-ins; the time line in a crate of its own.

--- /dev/null
+++ b/crates/celerywinch/src/commands/bench.rs
@@ -0,0 +1,143 @@
+//! `celerywinch bench`: load and experiments.
+
+use std::time::Duration;
+
+use anyhow::{Context, bail};
+use celerywinch_bench::bench::{BenchOptions, RunResult, SCENARIOS, Scenario, run as bench, table};
+use celerywinch_bench::deployment::{ALL, Deployment};
+use celerywinch_bench::{Policy, slopes};
+use getopts::Matches;
+use ntex::rt::{DefaultRuntime, System};
+
+use super::{Command, number, parse};
+use crate::ExitStatus;
+
+/// The command.
+pub(super) const COMMAND: Command = Command {
+    name: "bench",
+    what: "Drive real entries with load and faults, and measure",
+    run,
+};
+
+const BRIEF: &str = "Usage: celerywinch bench [--scenario NAME]... [--deployment NAME] [--seed N]\n\
+    \x20                        [--seconds S] [--baselines] [--json OUT]\n\
+    \x20      celerywinch bench --slopes [--json OUT]\n\n\
+    Starts the entries of a deployment and its endpoints in this process, submits in an open loop,\n\
+    and shows response time over the longest task, outcomes and wasted messages. With\n\
+    `--baselines`, other ways to choose endpoints run in the same call. `--slopes` measures what\n\
+    control costs by number of instances, endpoints and changes.";
+
+/// Seconds of a run where none are asked for.
+const SECONDS: u64 = 10;
+
+fn run(arguments: &[String]) -> anyhow::Result<ExitStatus> {
+    let mut options = getopts::Options::new();
+    options.optmulti("", "scenario", "a scenario; all without it", "NAME");
+    options.optopt(
+        "",
+        "deployment",
+        "condor or siam; condor without it",
+        "NAME",
+    );
+    options.optopt("", "seed", "seed of the load; 1 without it", "N");
+    options.optopt("", "seconds", "how long callers submit; 10 without it", "S");
+    options.optflag("", "baselines", "run the baselines too");
+    options.optflag("", "slopes", "measure what control costs");
+    options.optopt("", "json", "write the results to a file", "OUT");
+    let Some(matches) = parse(&mut options, &brief(), arguments)? else {
+        return Ok(ExitStatus::Success);
+    };
+    if matches.opt_present("slopes") {
+        return run_slopes(&matches);
+    }
+    let runs = plan(&matches)?;
+    let system = System::build().name("bench").build(DefaultRuntime);
+    let results = system.block_on(async move {
+        let mut results = Vec::new();
+        for options in runs {
+            results.push(bench(options).await?);
+            eprintln!("{}", table(&results[results.len() - 1..]));
+        }
+        anyhow::Ok(results)
+    })?;
+    println!("{}", table(&results));
+    write_json(&matches, &results)?;
+    let broken = |result: &RunResult| result.figures.doubled + result.figures.violations > 0;
+    Ok(if results.iter().any(broken) {
+        ExitStatus::Failure
+    } else {
+        ExitStatus::Success
+    })
+}
+
+fn brief() -> String {
+    let mut text = format!("{BRIEF}\n\nScenarios:\n");
+    for scenario in SCENARIOS {
+        text.push_str(&format!("  {:<11} {}\n", scenario.name, scenario.what));
+    }
+    text
+}
+
+fn plan(matches: &Matches) -> anyhow::Result<Vec<BenchOptions>> {
+    let deployment = deployment(matches)?;
+    let seed = number(matches, "seed")?.unwrap_or(1);
+    let seconds = number(matches, "seconds")?.unwrap_or(SECONDS);
+    let mut policies = vec![Policy::Shares];
+    if matches.opt_present("baselines") {
+        policies.extend([Policy::Random, Policy::RoundRobin, Policy::LeastOutstanding]);
+    }
+    let mut runs = Vec::new();
+    for scenario in scenarios(matches)? {
+        for policy in &policies {
+            runs.push(BenchOptions {
+                deployment,
+                scenario,
+                policy: *policy,
+                seed,
+                span: Duration::from_secs(seconds),
+            });
+        }
+    }
+    Ok(runs)
+}
+
+fn deployment(matches: &Matches) -> anyhow::Result<Deployment> {
+    let name = matches
+        .opt_str("deployment")
+        .unwrap_or_else(|| "condor".into());
+    let found = ALL.iter().find(|deployment| deployment.name == name);
+    found
+        .copied()
+        .with_context(|| format!("`--deployment`: found {name:?}, wanted condor or siam"))
+}
+
+fn scenarios(matches: &Matches) -> anyhow::Result<Vec<Scenario>> {
+    let names = matches.opt_strs("scenario");
+    if names.is_empty() {
+        return Ok(SCENARIOS.to_vec());
+    }
+    let mut found = Vec::new();
+    for name in names {
+        match SCENARIOS.iter().find(|scenario| scenario.name == name) {
+            Some(scenario) => found.push(*scenario),
+            None => bail!("`--scenario`: there is no scenario {name:?}; see --help"),
+        }
+    }
+    Ok(found)
+}
+
+fn run_slopes(matches: &Matches) -> anyhow::Result<ExitStatus> {
+    let system = System::build().name("slopes").build(DefaultRuntime);
+    let slopes = system.block_on(slopes::run())?;
+    println!("{}", slopes::table(&slopes));
+    write_json(matches, &slopes)?;
+    Ok(ExitStatus::Success)
+}
+
+fn write_json<T: serde::Serialize>(matches: &Matches, value: &T) -> anyhow::Result<()> {
+    if let Some(path) = matches.opt_str("json") {
+        let text = serde_json::to_string_pretty(value)?;
+        std::fs::write(&path, text).with_context(|| format!("cannot write {path}"))?;
+    }
+    Ok(())
+}
--- a/crates/celerywinch/src/commands/mod.rs
+++ b/crates/celerywinch/src/commands/mod.rs
@@ -1,7 +1,12 @@
 //! The commands, one file each, and the registry that lists them.
 
+mod bench;
+mod catalogue;
 mod check;
+mod operator;
 mod soak;
+mod status;
+mod timeline;
 mod try_it;
 
 use crate::ExitStatus;
@@ -17,7 +22,15 @@
 }
 
 /// All commands.
-pub const COMMANDS: &[Command] = &[check::COMMAND, try_it::COMMAND, soak::COMMAND];
+pub const COMMANDS: &[Command] = &[
+    try_it::COMMAND,
+    check::COMMAND,
+    status::COMMAND,
+    catalogue::COMMAND,
+    timeline::COMMAND,
+    soak::COMMAND,
+    bench::COMMAND,
+];
 
 /// Runs the command that the arguments name.
 #[must_use]
--- /dev/null
+++ b/crates/celerywinch_bench/src/bench/drive.rs
@@ -0,0 +1,356 @@
+//! One run: a cluster, the load in an open loop, and the figures.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::atomic::Ordering::Relaxed;
+use std::time::{Duration, Instant};
+
+use celerywinch_dispatch::Policy;
+use celerywinch_standin::fresh_key;
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use super::ideal::central_queue;
+use super::load::{Arrival, Plan, draw};
+use super::scenario::Scenario;
+use super::usage::thread_seconds;
+use crate::cluster::Cluster;
+use crate::deployment::Deployment;
+
+/// Slots of every endpoint.
+const SLOTS: usize = 8;
+/// Histograms hold ratios in thousandths, up to a thousand times the ideal.
+const RATIO_SCALE: f64 = 1000.0;
+const RATIO_MOST: u64 = 1_000_000;
+
+/// What a run is told.
+#[derive(Clone, Copy)]
+pub struct BenchOptions {
+    /// The deployment.
+    pub deployment: Deployment,
+    /// The scenario.
+    pub scenario: Scenario,
+    /// How endpoints are chosen.
+    pub policy: Policy,
+    /// The seed of the load.
+    pub seed: u64,
+    /// How long callers submit.
+    pub span: Duration,
+}
+
+/// Figures of one run.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Figures {
+    /// Submissions.
+    pub submitted: u64,
+    /// Answered on time.
+    pub answered: u64,
+    /// Answered after the deadline.
+    pub late: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Refused as not run.
+    pub refused: u64,
+    /// Undecided, or no reply at all.
+    pub undecided: u64,
+    /// Response time over the longest task's run time: p50, p99, p99.9.
+    pub ratio: [f64; 3],
+    /// The same, computed for one central queue that knows everything.
+    pub ideal_ratio: [f64; 3],
+    /// Time until a refusal was told, in milliseconds: p50, p99.
+    pub refusal_ms: [f64; 2],
+    /// Tasks started at endpoints.
+    pub starts: u64,
+    /// Tasks that belong to answers on time.
+    pub useful: u64,
+    /// Messages to endpoints that were refused as full.
+    pub full: u64,
+    /// Messages to endpoints that were refused as leaving.
+    pub leaving: u64,
+    /// Tasks whose result came after its deadline.
+    pub late_tasks: u64,
+    /// Tasks that were started more than once.
+    pub doubled: u64,
+    /// Assertions that failed.
+    pub violations: u64,
+    /// Messages between entries for each start.
+    pub peer_messages: f64,
+    /// Bytes between entries for each start.
+    pub peer_bytes: f64,
+    /// Processor time of the core threads for each start, in microseconds.
+    pub core_us: f64,
+    /// Answered on time in each tenth of the run, by time of submission.
+    pub answered_by_tenth: [u64; 10],
+    /// Submitted in each tenth of the run.
+    pub submitted_by_tenth: [u64; 10],
+}
+
+/// One run with what it was told.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct RunResult {
+    /// The deployment.
+    pub deployment: String,
+    /// The scenario.
+    pub scenario: String,
+    /// How endpoints were chosen.
+    pub policy: String,
+    /// The seed.
+    pub seed: u64,
+    /// How long callers submitted, in seconds.
+    pub seconds: f64,
+    /// The figures.
+    pub figures: Figures,
+}
+
+struct Tally {
+    figures: Figures,
+    ratios: Histogram<u64>,
+    refusals: Histogram<u64>,
+}
+
+/// Runs one scenario under one policy.
+///
+/// # Errors
+///
+/// The cluster cannot be started or does not answer.
+pub async fn run(options: BenchOptions) -> anyhow::Result<RunResult> {
+    let endpoints = options.deployment.endpoints;
+    let cluster = Cluster::start(&options.deployment, endpoints, None, options.policy).await?;
+    let arrivals = draw(Plan {
+        seed: options.seed,
+        span: options.span,
+        entries: cluster.nodes.len(),
+        slots: endpoints * SLOTS,
+        load: options.scenario.load,
+    });
+    let tally = Rc::new(RefCell::new(Tally::new()?));
+    let before = traffic(&cluster).await?;
+    let core_before = thread_seconds("core-");
+    submit_all(&cluster, &options, &arrivals, &tally).await;
+    let core_after = thread_seconds("core-");
+    let after = traffic(&cluster).await?;
+    let mut figures = tally.borrow().finish();
+    let ledger = cluster.fleet.ledger();
+    figures.starts = ledger.started.load(Relaxed);
+    figures.full = ledger.refused_full.load(Relaxed);
+    figures.leaving = ledger.refused_leaving.load(Relaxed);
+    figures.late_tasks = ledger.late.load(Relaxed);
+    figures.doubled = ledger.doubled().len() as u64;
+    figures.violations = cluster.violations().await?;
+    let starts = figures.starts.max(1) as f64;
+    figures.peer_messages = (after.0 - before.0) / starts;
+    figures.peer_bytes = (after.1 - before.1) / starts;
+    figures.core_us = (core_after - core_before) * 1e6 / starts;
+    figures.ideal_ratio = quantiles(&central_queue(&arrivals, endpoints * SLOTS));
+    cluster.stop().await?;
+    Ok(RunResult {
+        deployment: options.deployment.name.into(),
+        scenario: options.scenario.name.into(),
+        policy: format!("{:?}", options.policy),
+        seed: options.seed,
+        seconds: options.span.as_secs_f64(),
+        figures,
+    })
+}
+
+/// Messages and bytes that the entries sent to each other.
+async fn traffic(cluster: &Cluster) -> anyhow::Result<(f64, f64)> {
+    let mut sums = (0.0, 0.0);
+    for index in 0..cluster.nodes.len() {
+        let metrics = cluster.metrics(index).await?;
+        let get = |name: &str| metrics.get(name).copied().unwrap_or(0.0);
+        sums.0 += get("celerywinch_peer_messages_sent_total");
+        sums.1 += get("celerywinch_peer_bytes_sent_total");
+    }
+    Ok(sums)
+}
+
+/// Submits each arrival at its time, whatever became of the ones before: response times count from
+/// the time an arrival was due, so that a stall is not forgiven.
+async fn submit_all(
+    cluster: &Cluster,
+    options: &BenchOptions,
+    arrivals: &[Arrival],
+    tally: &Rc<RefCell<Tally>>,
+) {
+    let kinds = kinds(options.deployment);
+    let teams = teams(options.deployment);
+    let began = Instant::now();
+    let mut tenth = 0;
+    let mut running = Vec::new();
+    for (number, arrival) in arrivals.iter().enumerate() {
+        let wait = arrival.at.saturating_sub(began.elapsed());
+        if !wait.is_zero() {
+            tokio::time::sleep(wait).await;
+        }
+        let now = tenth_of(arrival, options.span);
+        while tenth <= now {
+            (options.scenario.befall)(tenth, &cluster.fleet);
+            tenth += 1;
+        }
+        let kind = kinds[number % kinds.len()].clone();
+        let team = teams[arrival.team % teams.len()].clone();
+        let task = submit(
+            cluster,
+            arrival.clone(),
+            (kind, team),
+            (began, now),
+            tally.clone(),
+        );
+        running.push(tokio::task::spawn_local(task));
+    }
+    for task in running {
+        let _ = task.await;
+    }
+}
+
+fn tenth_of(arrival: &Arrival, span: Duration) -> usize {
+    let share = arrival.at.as_secs_f64() / span.as_secs_f64();
+    ((share * 10.0) as usize).min(9)
+}
+
+/// Kinds that allow jobs of any size of the load.
+fn kinds(deployment: Deployment) -> Vec<String> {
+    let document = deployment.document().unwrap_or_default();
+    let large = document
+        .kinds
+        .iter()
+        .filter(|(_, kind)| kind.max_tasks >= 240);
+    large.map(|(name, _)| name.clone()).collect()
+}
+
+fn teams(deployment: Deployment) -> Vec<String> {
+    let document = deployment.document().unwrap_or_default();
+    document.teams.keys().cloned().collect()
+}
+
+fn submit(
+    cluster: &Cluster,
+    arrival: Arrival,
+    work: (String, String),
+    times: (Instant, usize),
+    tally: Rc<RefCell<Tally>>,
+) -> impl Future<Output = ()> + 'static {
+    let key = fresh_key(Some(cluster.home(arrival.entry)));
+    let entry = cluster.callers(arrival.entry);
+    let caller = cluster.caller.clone();
+    let (kind, team) = work;
+    let (began, tenth) = times;
+    async move {
+        let tasks: Vec<_> = arrival
+            .run_ms
+            .iter()
+            .map(|ms| json!({ "run_ms": ms }))
+            .collect();
+        let body = json!({
+            "kind": kind,
+            "team": team,
+            "deadline_ms": arrival.deadline.as_millis(),
+            "tasks": tasks,
+        });
+        let sent = caller.post(entry, "/v1/submit", Some(&key), &body, arrival.deadline);
+        let response = sent.await;
+        let took = began.elapsed().saturating_sub(arrival.at);
+        tally
+            .borrow_mut()
+            .take(&arrival, tenth, took, response.ok());
+    }
+}
+
+impl Tally {
+    fn new() -> anyhow::Result<Self> {
+        Ok(Self {
+            figures: Figures::default(),
+            ratios: Histogram::new_with_bounds(1, RATIO_MOST, 3)?,
+            refusals: Histogram::new_with_bounds(1, 60_000_000, 3)?,
+        })
+    }
+
+    fn take(
+        &mut self,
+        arrival: &Arrival,
+        tenth: usize,
+        took: Duration,
+        response: Option<celerywinch_standin::Response>,
+    ) {
+        let figures = &mut self.figures;
+        figures.submitted += 1;
+        figures.submitted_by_tenth[tenth] += 1;
+        let outcome = response.as_ref().map_or("none", |r| r.outcome());
+        match outcome {
+            "answer" if took <= arrival.deadline => {
+                figures.answered += 1;
+                figures.answered_by_tenth[tenth] += 1;
+                figures.useful += arrival.run_ms.len() as u64;
+                let longest = arrival.run_ms.iter().copied().fold(0.0, f64::max);
+                let ratio = took.as_secs_f64() * 1000.0 / longest;
+                self.ratios.saturating_record((ratio * RATIO_SCALE) as u64);
+            }
+            "answer" => figures.late += 1,
+            "failure" => figures.failed += 1,
+            "refusal" => {
+                figures.refused += 1;
+                let micros = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
+                self.refusals.saturating_record(micros);
+            }
+            _ => figures.undecided += 1,
+        }
+    }
+
+    fn finish(&self) -> Figures {
+        let ratio = |q: f64| self.ratios.value_at_quantile(q) as f64 / RATIO_SCALE;
+        let refusal = |q: f64| self.refusals.value_at_quantile(q) as f64 / 1000.0;
+        Figures {
+            ratio: [ratio(0.5), ratio(0.99), ratio(0.999)],
+            refusal_ms: [refusal(0.5), refusal(0.99)],
+            ..self.figures.clone()
+        }
+    }
+}
+
+fn quantiles(values: &[f64]) -> [f64; 3] {
+    let mut sorted = values.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    let at = |q: f64| {
+        let index = (sorted.len() as f64 * q) as usize;
+        sorted
+            .get(index.min(sorted.len().saturating_sub(1)))
+            .copied()
+    };
+    [0.5, 0.99, 0.999].map(|q| at(q).unwrap_or(0.0))
+}
+
+/// Runs side by side, as a table.
+#[must_use]
+pub fn table(results: &[RunResult]) -> String {
+    let mut text = format!(
+        "{:<11} {:<17} {:>6} {:>6} {:>5} {:>6} {:>7} {:>5} {:>23} {:>23} {:>13} {:>6} {:>7} {:>6}\n",
+        "scenario",
+        "policy",
+        "subm.",
+        "on time",
+        "late",
+        "failed",
+        "refused",
+        "undec",
+        "ratio p50/p99/p99.9",
+        "ideal queue",
+        "refusal p50/99",
+        "wasted",
+        "core us",
+        "double"
+    );
+    for result in results {
+        let f = &result.figures;
+        let wasted = (f.starts + f.full + f.leaving).saturating_sub(f.useful);
+        let wasted = wasted as f64 * 100.0 / f.useful.max(1) as f64;
+        text.push_str(&format!(
+            "{:<11} {:<17} {:>6} {:>6} {:>5} {:>6} {:>7} {:>5} {:>7.3} {:>7.3} {:>7.3} {:>7.3} {:>7.3} {:>7.3} {:>6.1} {:>6.1} {:>5.2}% {:>7.1} {:>6}\n",
+            result.scenario, result.policy, f.submitted, f.answered, f.late, f.failed, f.refused,
+            f.undecided, f.ratio[0], f.ratio[1], f.ratio[2], f.ideal_ratio[0], f.ideal_ratio[1],
+            f.ideal_ratio[2], f.refusal_ms[0], f.refusal_ms[1], wasted, f.core_us, f.doubled + f.violations,
+        ));
+    }
+    text
+}
--- /dev/null
+++ b/crates/celerywinch_bench/src/bench/load_tests.rs
@@ -0,0 +1,20 @@
+//! The means that the load is laid out by are the means of what is drawn.
+
+use super::*;
+
+#[test]
+fn means_are_as_stated() {
+    let arrivals = draw(Plan {
+        seed: 7,
+        span: Duration::from_secs(400),
+        entries: 7,
+        slots: 400,
+        load: |_| 1.0,
+    });
+    let tasks: usize = arrivals.iter().map(|a| a.run_ms.len()).sum();
+    let run: f64 = arrivals.iter().flat_map(|a| &a.run_ms).sum();
+    let mean_tasks = tasks as f64 / arrivals.len() as f64;
+    let mean_ms = run / tasks as f64;
+    assert!((mean_tasks / MEAN_TASKS - 1.0).abs() < 0.05, "{mean_tasks}");
+    assert!((mean_ms / MEAN_MS - 1.0).abs() < 0.05, "{mean_ms}");
+}
--- /dev/null
+++ b/crates/celerywinch_bench/src/bench/mod.rs
@@ -0,0 +1,11 @@
+//! Load and experiments: real entries over loopback, stand-in endpoints, an open loop of callers.
+
+mod drive;
+mod ideal;
+mod load;
+mod scenario;
+mod usage;
+
+pub use drive::{BenchOptions, Figures, RunResult, run, table};
+pub use scenario::{SCENARIOS, Scenario};
+pub use usage::{resident_bytes, thread_seconds};
--- /dev/null
+++ b/crates/celerywinch_bench/src/bench/scenario.rs
@@ -0,0 +1,74 @@
+//! The scenarios, and the registry that lists them.
+
+use celerywinch_standin::{Fleet, Mode};
+
+/// One scenario: an offered load, and what befalls the endpoints.
+#[derive(Clone, Copy)]
+pub struct Scenario {
+    /// Its name.
+    pub name: &'static str,
+    /// What it shows, in one line.
+    pub what: &'static str,
+    pub(super) load: fn(f64) -> f64,
+    /// Called at each tenth of the run, with the tenth and the fleet.
+    pub(super) befall: fn(usize, &Fleet),
+}
+
+/// All scenarios.
+pub const SCENARIOS: &[Scenario] = &[
+    Scenario {
+        name: "calm",
+        what: "80% load without faults",
+        load: |_| 0.8,
+        befall: |_, _| {},
+    },
+    Scenario {
+        name: "half",
+        what: "50% load without faults",
+        load: |_| 0.5,
+        befall: |_, _| {},
+    },
+    Scenario {
+        name: "failing",
+        what: "4% of the workers fail every task at once, at 70% load",
+        load: |_| 0.7,
+        befall: |tenth, fleet| {
+            if tenth == 1 {
+                every_25th(fleet, Mode::Fail);
+            }
+        },
+    },
+    Scenario {
+        name: "stragglers",
+        what: "4% of the workers run ten times as long, at 70% load",
+        load: |_| 0.7,
+        befall: |tenth, fleet| {
+            if tenth == 1 {
+                every_25th(fleet, Mode::Slow);
+            }
+        },
+    },
+    Scenario {
+        name: "burst",
+        what: "three times the capacity for three tenths of the run, 60% before and after",
+        load: |at| if (0.3..0.6).contains(&at) { 3.0 } else { 0.6 },
+        befall: |_, _| {},
+    },
+    Scenario {
+        name: "leaving",
+        what: "a tenth of the workers says at a time that it leaves, at 60% load",
+        load: |_| 0.6,
+        befall: |tenth, fleet| {
+            if tenth == 3 {
+                let count = fleet.addrs().len() / 10;
+                (0..count.max(1)).for_each(|index| fleet.leave(index));
+            }
+        },
+    },
+];
+
+fn every_25th(fleet: &Fleet, mode: Mode) {
+    for index in (0..fleet.addrs().len()).step_by(25) {
+        fleet.set_mode(index, mode);
+    }
+}
--- a/crates/celerywinch_bench/src/cluster.rs
+++ b/crates/celerywinch_bench/src/cluster.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
 
+use celerywinch_dispatch::Policy;
 use celerywinch_node::{Bound, Node, NodeOptions};
 use celerywinch_settings::{Instance, Secret, SettingsBuilder};
 use celerywinch_standin::{Caller, EndpointPlan, Fleet, FleetPlan};
@@ -40,18 +41,51 @@
         deployment: &Deployment,
         endpoints: usize,
         folder: Option<&Path>,
+        policy: Policy,
     ) -> anyhow::Result<Self> {
-        let (instances, listeners) = lay_out(deployment)?;
+        Self::start_with(deployment, endpoints, folder, policy, 0).await
+    }
+
+    /// Starts a cluster whose first `keepers` entries keep the catalogue below `folder`.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::start`].
+    pub async fn start_keepers(
+        deployment: &Deployment,
+        endpoints: usize,
+        folder: &Path,
+        policy: Policy,
+        keepers: usize,
+    ) -> anyhow::Result<Self> {
+        Self::start_with(deployment, endpoints, Some(folder), policy, keepers).await
+    }
+
+    async fn start_with(
+        deployment: &Deployment,
+        endpoints: usize,
+        folder: Option<&Path>,
+        policy: Policy,
+        keepers: usize,
+    ) -> anyhow::Result<Self> {
+        let (mut instances, listeners) = lay_out(deployment)?;
+        for one in instances.iter_mut().take(keepers) {
+            one.keeper = true;
+        }
         let mut nodes = Vec::new();
         for (me, listener) in instances.iter().zip(listeners) {
+            let data = folder.filter(|_| keepers > 0);
+            let data = data.map(|f| f.join(format!("data-{}", me.id.0)));
             let timeline = folder.map(|f| f.join(format!("{}-{}.jsonl", deployment.name, me.id.0)));
             let settings = SettingsBuilder::new(me.clone(), instances.clone(), Secret::new(SECRET))
                 .timeline_file(timeline)
+                .data_folder(data)
                 .http_threads(Some(1))
                 .build();
             let options = NodeOptions {
                 peers: Some(listener),
                 catalogue: Some(deployment.document()?),
+                policy,
             };
             nodes.push(Node::start(settings, options).await?);
         }
@@ -110,6 +144,25 @@
         Ok(())
     }
 
+    /// The metrics of entry `index`, by name, labels summed up.
+    ///
+    /// # Errors
+    ///
+    /// The entry does not answer.
+    pub async fn metrics(&self, index: usize) -> anyhow::Result<HashMap<String, f64>> {
+        let operators = self.bound(index).operators;
+        let text = self.caller.text(operators, "/metrics", SECRET).await?;
+        let mut sums = HashMap::new();
+        for line in text.lines().filter(|line| !line.starts_with('#')) {
+            let Some((name, value)) = line.rsplit_once(' ') else {
+                continue;
+            };
+            let name = name.split('{').next().unwrap_or(name).to_owned();
+            *sums.entry(name).or_default() += value.parse().unwrap_or(0.0);
+        }
+        Ok(sums)
+    }
+
     /// The status page of entry `index`.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/celerywinch_bench/src/slopes/store.rs
@@ -0,0 +1,187 @@
+//! Commit time against one synced write, and restart time by number of changes.
+
+use std::io::Write;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use celerywinch_catalogue::{Document, Edit, TeamEntry};
+use celerywinch_dispatch::Policy;
+use celerywinch_keeper::Keeper;
+use celerywinch_store::{Disk, Entry, Input, KeeperId, Payload, RaftConfig, Record};
+use celerywinch_types::{InstanceId, Time};
+use serde_json::json;
+
+use super::Row;
+use crate::cluster::{Cluster, SECRET};
+use crate::deployment::{CONDOR, Deployment};
+
+/// Changes whose commit is timed.
+const CHANGES: u64 = 60;
+
+pub(super) async fn measure() -> anyhow::Result<Vec<Row>> {
+    let folder = std::env::temp_dir().join(format!("celerywinch-slopes-{}", std::process::id()));
+    std::fs::create_dir_all(&folder)?;
+    let measured = measure_in(&folder).await;
+    std::fs::remove_dir_all(&folder)?;
+    measured
+}
+
+async fn measure_in(folder: &Path) -> anyhow::Result<Vec<Row>> {
+    let mut rows = vec![synced_write(folder)?];
+    rows.extend(commits(folder).await?);
+    for changes in [0_u64, 1000, 5000] {
+        rows.push(restart(
+            &folder.join(format!("restart-{changes}")),
+            changes,
+        )?);
+    }
+    Ok(rows)
+}
+
+fn synced_write(folder: &Path) -> anyhow::Result<Row> {
+    let mut file = std::fs::File::create(folder.join("synced"))?;
+    let mut times = Vec::new();
+    let bytes = vec![7_u8; 12_000];
+    for _ in 0..CHANGES {
+        let began = Instant::now();
+        file.write_all(&bytes)?;
+        file.sync_data()?;
+        times.push(began.elapsed());
+    }
+    Ok(Row::new(
+        "one synced write of 12 kB, p50",
+        "same disk".into(),
+        median(times),
+        "ms",
+    ))
+}
+
+fn median(mut times: Vec<Duration>) -> f64 {
+    times.sort_unstable();
+    times[times.len() / 2].as_secs_f64() * 1000.0
+}
+
+async fn commits(folder: &Path) -> anyhow::Result<Vec<Row>> {
+    let deployment = Deployment {
+        dcs: &[("bog-1", 3), ("bog-2", 2), ("bog-3", 2)],
+        ..CONDOR
+    };
+    let cluster = Cluster::start_keepers(&deployment, 1, folder, Policy::default(), 3).await?;
+    let operators = cluster.bound(0).operators;
+    let page = cluster
+        .caller
+        .get(operators, "/v1/catalogue", Some(SECRET))
+        .await?;
+    let mut document = page.body["catalogue"].clone();
+    for team in 0..270 {
+        document["teams"][format!("team-{team}")] = json!({ "quota": 10 });
+    }
+    let mut version = page.body["version"].as_u64().unwrap_or(0);
+    let (mut commits, mut in_force) = (Vec::new(), Vec::new());
+    for change in 0..CHANGES {
+        document["teams"][format!("extra-{change}")] = json!({ "quota": 1 });
+        let edit = json!({ "change": format!("c{change}"), "base": version, "document": document });
+        let began = Instant::now();
+        let answer = cluster
+            .caller
+            .put(operators, "/v1/catalogue", SECRET, &edit)
+            .await?;
+        commits.push(began.elapsed());
+        version = answer.body["version"].as_u64().unwrap_or(version);
+        wait_in_force(&cluster, version).await?;
+        in_force.push(began.elapsed());
+    }
+    cluster.stop().await?;
+    let sizes = "3 keepers, 7 entries, 15 kB catalogue".to_owned();
+    let worst = in_force.iter().max().copied().unwrap_or_default();
+    Ok(vec![
+        Row::new(
+            "change until accepted, p50",
+            sizes.clone(),
+            median(commits),
+            "ms",
+        ),
+        Row::new(
+            "change until in force everywhere, p50",
+            sizes.clone(),
+            median(in_force),
+            "ms",
+        ),
+        Row::new(
+            "change until in force everywhere, worst",
+            sizes,
+            worst.as_secs_f64() * 1000.0,
+            "ms",
+        ),
+    ])
+}
+
+async fn wait_in_force(cluster: &Cluster, version: u64) -> anyhow::Result<()> {
+    for index in 0..cluster.nodes.len() {
+        let began = Instant::now();
+        while cluster.status(index).await?["catalogue_version"].as_u64() < Some(version) {
+            anyhow::ensure!(
+                began.elapsed() < Duration::from_secs(9),
+                "entry {index} lags"
+            );
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+    Ok(())
+}
+
+/// Time to read the log and rebuild the state, with snapshots as the daemon makes them.
+fn restart(folder: &Path, changes: u64) -> anyhow::Result<Row> {
+    let config = RaftConfig {
+        me: KeeperId {
+            instance: InstanceId(1),
+            disk: 1,
+        },
+        instances: vec![InstanceId(1)],
+        heartbeat: Duration::from_millis(100),
+        election: Duration::from_millis(400),
+        compact_after: 128,
+        seed: 1,
+    };
+    write_log(folder, changes)?;
+    let began = Instant::now();
+    let (_, _, loaded) = Disk::open(folder, 1)?;
+    let mut keeper = Keeper::new(config, Time(0), loaded)?;
+    keeper.handle(Time(1), Input::Tick, &mut Vec::new());
+    let took = began.elapsed().as_secs_f64() * 1000.0;
+    let sizes = format!("{changes} changes of 6 kB, log without snapshot");
+    Ok(Row::new(
+        "restart of a keeper, until it can vote",
+        sizes,
+        took,
+        "ms",
+    ))
+}
+
+/// A log with all changes in it: the worst case, in which no snapshot was made for long.
+fn write_log(folder: &Path, changes: u64) -> anyhow::Result<()> {
+    let (mut disk, _, _) = Disk::open(folder, 1)?;
+    let mut document: Document = CONDOR.document()?;
+    for team in 0..270 {
+        document
+            .teams
+            .insert(format!("team-{team}"), TeamEntry { quota: 10 });
+    }
+    let mut records = Vec::new();
+    for index in 1..=changes {
+        let edit = Edit {
+            change: format!("change-{index}"),
+            base: index - 1,
+            document: document.clone(),
+        };
+        records.push(Record::Entry(Entry {
+            index,
+            term: 1,
+            payload: Payload::Command(serde_json::to_vec(&edit)?),
+        }));
+    }
+    for part in records.chunks(256) {
+        disk.append(part)?;
+    }
+    Ok(())
+}
--- a/crates/celerywinch_bench/src/soak/world.rs
+++ b/crates/celerywinch_bench/src/soak/world.rs
@@ -64,11 +64,12 @@
 const EPOCH: u64 = 1_700_000_000_000;
 /// Events kept for the report.
 const KEPT_EVENTS: usize = 60;
-/// Bounds on keys; shorter than in operation, so that keys get too old within a run.
+/// Bounds on keys; shorter than in operation, so that keys get too old, and are forgotten, while
+/// they are still resubmitted.
 const LIMITS: Limits = Limits {
     window: Duration::from_secs(8),
     skew: Duration::from_millis(250),
-    retention: Duration::from_secs(20),
+    retention: Duration::from_secs(2),
 };
 
 #[derive(Debug)]
--- a/crates/celerywinch_bench/src/trial.rs
+++ b/crates/celerywinch_bench/src/trial.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use celerywinch_dispatch::Policy;
 use celerywinch_standin::fresh_key;
 use serde_json::{Value, json};
 
@@ -132,7 +133,7 @@
 }
 
 async fn run_one(deployment: &Deployment) -> anyhow::Result<bool> {
-    let cluster = Cluster::start(deployment, ENDPOINTS, None).await?;
+    let cluster = Cluster::start(deployment, ENDPOINTS, None, Policy::default()).await?;
     println!(
         "{}: {} entries in {} data centres, {ENDPOINTS} endpoints",
         deployment.name,
--- a/crates/celerywinch_node/src/lib.rs
+++ b/crates/celerywinch_node/src/lib.rs
@@ -20,4 +20,3 @@
 pub use filters::FILTERS;
 pub use node::{Node, NodeOptions};
 pub use shared::Bound;
-pub use timeline::{Line, Stamp};
--- a/crates/celerywinch_node/src/node.rs
+++ b/crates/celerywinch_node/src/node.rs
@@ -10,6 +10,7 @@
 use anyhow::Context;
 use arc_swap::ArcSwap;
 use celerywinch_catalogue::{Catalogue, Document};
+use celerywinch_dispatch::Policy;
 use celerywinch_entry::{ConfigBuilder, Entry, Input};
 use celerywinch_settings::{Settings, load_catalogue};
 use celerywinch_types::{Incarnation, InstanceId, Process};
@@ -39,6 +40,8 @@
     pub peers: Option<TcpListener>,
     /// The first catalogue; read from the settings' file without it.
     pub catalogue: Option<Document>,
+    /// How endpoints are chosen; other than by default only to measure against.
+    pub policy: Policy,
 }
 
 /// A running instance.
@@ -103,7 +106,7 @@
             options.catalogue,
             store_inbox,
         )?;
-        let done = start_core(shared.clone(), context, peers, inbox)?;
+        let done = start_core(shared.clone(), context, (peers, options.policy), inbox)?;
         let servers = vec![
             serve(&shared, callers, Surface::Callers)?,
             serve(&shared, endpoints, Surface::Endpoints)?,
@@ -148,14 +151,15 @@
 fn start_core(
     shared: Arc<Shared>,
     context: LinkContext,
-    peers: TcpListener,
+    options: (TcpListener, Policy),
     inbox: UnboundedReceiver<CoreMsg>,
 ) -> anyhow::Result<oneshot::Receiver<()>> {
+    let (peers, policy) = options;
     peers.set_nonblocking(true)?;
     let (done, finished) = oneshot::channel();
     let arbiter = Arbiter::with_name(format!("core-{}", shared.me.instance.0));
     arbiter.handle().spawn(async move {
-        ntex::rt::spawn(run_core(shared, context, peers, inbox, done));
+        ntex::rt::spawn(run_core(shared, context, (peers, policy), inbox, done));
     });
     Ok(finished)
 }
@@ -163,10 +167,11 @@
 async fn run_core(
     shared: Arc<Shared>,
     context: LinkContext,
-    peers: TcpListener,
+    options: (TcpListener, Policy),
     inbox: UnboundedReceiver<CoreMsg>,
     done: oneshot::Sender<()>,
 ) {
+    let (peers, policy) = options;
     let settings = &shared.settings;
     let peers = match tokio::net::TcpListener::from_std(peers) {
         Ok(peers) => peers,
@@ -183,6 +188,7 @@
     let config = ConfigBuilder::new(shared.me, settings.me.dc, Clock::wall(), settings.layout())
         .seed(shared.me.incarnation.0 ^ u64::from(shared.me.instance.0))
         .limits(settings.limits)
+        .policy(policy)
         .keepers(keepers(settings))
         .durable(settings.data_folder.is_some())
         .build();
--- a/crates/celerywinch_node/src/timeline.rs
+++ b/crates/celerywinch_node/src/timeline.rs
@@ -10,34 +10,14 @@
 
 use anyhow::Context;
 use celerywinch_entry::Event;
+use celerywinch_timeline::{Line, Stamp};
 use celerywinch_types::Process;
-use serde::{Deserialize, Serialize};
 
 use crate::Clock;
 
 /// Lines are written through at least this often.
 const FLUSH_EVERY: Duration = Duration::from_millis(50);
 
-/// When and where an event happened.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Stamp {
-    /// Hybrid logical time; see [`Clock`].
-    pub hlc: u64,
-    /// The process.
-    pub at: Process,
-}
-
-/// One line of a time line.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Line {
-    /// When and where.
-    #[serde(flatten)]
-    pub stamp: Stamp,
-    /// What.
-    #[serde(flatten)]
-    pub event: Event,
-}
-
 /// Writes the events of one process.
 #[derive(Clone, Debug)]
 pub(crate) struct Timeline {
--- a/crates/celerywinch_standin/src/caller.rs
+++ b/crates/celerywinch_standin/src/caller.rs
@@ -1,14 +1,17 @@
-//! A stand-in caller.
+//! A stand-in caller, which also acts as operator.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use anyhow::Context;
-use ntex::client::{Client, Connector};
-use ntex::time::{Millis, Seconds};
+use celerywinch_client::{Client, read};
+use ntex::http::Method;
+use ntex::time::Millis;
 use serde_json::{Value, json};
 use uuid::Uuid;
 
+/// How long a reply may be late before the caller stops to wait.
+const PATIENCE_MS: u32 = 2000;
+
 /// What a caller got.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Response {
@@ -36,6 +39,15 @@
     }
 }
 
+impl From<celerywinch_client::Response> for Response {
+    fn from(response: celerywinch_client::Response) -> Self {
+        Self {
+            status: response.status,
+            body: response.body,
+        }
+    }
+}
+
 /// Calls entries over HTTP.
 #[derive(Clone)]
 pub struct Caller {
@@ -49,15 +61,9 @@
     ///
     /// The pool cannot be set up.
     pub async fn new() -> anyhow::Result<Self> {
-        let client = Client::builder()
-            .connector::<()>(Connector::default().limit(0).keep_alive(Seconds(4)))
-            .disable_redirects()
-            .disable_timeout()
-            .response_payload_limit(16 << 20)
-            .build(ntex::SharedCfg::new("CALLER"))
-            .await
-            .context("caller: cannot set up")?;
-        Ok(Self { client })
+        Ok(Self {
+            client: Client::new(None).await?,
+        })
     }
 
     /// Submits and waits for the reply.
@@ -102,20 +108,13 @@
         body: &Value,
         wait: Duration,
     ) -> anyhow::Result<Response> {
-        let wait = Millis(
-            u32::try_from(wait.as_millis())
-                .unwrap_or(u32::MAX)
-                .saturating_add(2000),
-        );
-        let mut request = self
-            .client
-            .post(format!("http://{entry}{path}"))
-            .timeout(wait);
+        let wait = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
+        let wait = Millis(wait.saturating_add(PATIENCE_MS));
+        let mut request = self.client.request(Method::POST, entry, path).timeout(wait);
         if let Some(key) = key {
             request = request.header("idempotency-key", key);
         }
-        let response = request.send_json(body).await;
-        read(response).await
+        Ok(read(request.send_json(body).await).await?.into())
     }
 
     /// Puts a body, as an operator.
@@ -130,12 +129,9 @@
         secret: &str,
         body: &Value,
     ) -> anyhow::Result<Response> {
-        let request = self
-            .client
-            .put(format!("http://{entry}{path}"))
-            .header("authorization", format!("Bearer {secret}"))
-            .timeout(Millis(12_000));
-        read(request.send_json(body).await).await
+        let request = self.client.request(Method::PUT, entry, path);
+        let request = request.header("authorization", format!("Bearer {secret}"));
+        Ok(read(request.send_json(body).await).await?.into())
     }
 
     /// Gets a page, with the operators' secret if there is one.
@@ -149,10 +145,30 @@
         path: &str,
         secret: Option<&str>,
     ) -> anyhow::Result<Response> {
-        let mut request = self
-            .client
-            .get(format!("http://{entry}{path}"))
-            .timeout(Millis(40_000));
+        Ok(self.page(entry, path, secret).await?.into())
+    }
+
+    /// Gets a page that is no JSON, as an operator.
+    ///
+    /// # Errors
+    ///
+    /// The connection was refused or lost.
+    pub async fn text(
+        &self,
+        entry: SocketAddr,
+        path: &str,
+        secret: &str,
+    ) -> anyhow::Result<String> {
+        Ok(self.page(entry, path, Some(secret)).await?.text)
+    }
+
+    async fn page(
+        &self,
+        entry: SocketAddr,
+        path: &str,
+        secret: Option<&str>,
+    ) -> anyhow::Result<celerywinch_client::Response> {
+        let mut request = self.client.request(Method::GET, entry, path);
         if let Some(secret) = secret {
             request = request.header("authorization", format!("Bearer {secret}"));
         }
@@ -160,19 +176,6 @@
     }
 }
 
-async fn read(
-    response: Result<ntex::client::ClientResponse, ntex::client::error::ClientError>,
-) -> anyhow::Result<Response> {
-    let response = response.map_err(|error| anyhow::anyhow!("caller: {error}"))?;
-    let status = response.status().as_u16();
-    let body = response.body().limit(16 << 20).await;
-    let body = body.map_err(|error| anyhow::anyhow!("caller: {error}"))?;
-    Ok(Response {
-        status,
-        body: serde_json::from_slice(&body).unwrap_or(Value::Null),
-    })
-}
-
 /// A new key, with a home data centre if one is named.
 #[must_use]
 pub fn fresh_key(home: Option<&str>) -> String {
--- /dev/null
+++ b/crates/celerywinch_timeline/src/page.rs
@@ -0,0 +1,110 @@
+//! A time line as one self-contained page: a picture, then the lines.
+
+use std::collections::BTreeSet;
+
+use celerywinch_entry::Event;
+use celerywinch_types::InstanceId;
+
+use crate::Line;
+use crate::merge::{describe, text};
+
+/// Width of the picture, and of the names at its left.
+const WIDTH: f64 = 1200.0;
+const MARGIN: f64 = 110.0;
+/// Height of one process's row.
+const ROW: f64 = 44.0;
+/// Distance of events that fall on the same spot.
+const STEP: f64 = 5.0;
+
+/// The page.
+#[must_use]
+pub fn page(lines: &[Line]) -> String {
+    format!(
+        "<!doctype html>\n<html lang=\"en\"><meta charset=\"utf-8\"><title>Time line</title>\n\
+         <style>body{{font:14px sans-serif;margin:2em}}pre{{font-size:12px}}\
+         text{{font:12px sans-serif}}</style>\n<h1>Time line</h1>\n<p>{}</p>\n{}\n\
+         <pre>{}</pre>\n</html>\n",
+        legend(),
+        picture(lines),
+        escape(&text(lines)),
+    )
+}
+
+/// Colours by what an event means for its submission.
+fn colour(event: &Event) -> &'static str {
+    match event {
+        Event::Accepted { .. } | Event::Relayed { .. } => "#1f77b4",
+        Event::Claimed { .. } | Event::ClaimLost { .. } | Event::Settling { .. } => "#9467bd",
+        Event::Sent { .. } => "#ff7f0e",
+        Event::Result { .. } | Event::Outcome { .. } => "#2ca02c",
+        Event::NotRun { .. } | Event::Undecided { .. } => "#bcbd22",
+        Event::TaskLost { .. } | Event::Violation { .. } | Event::PeerDown { .. } => "#d62728",
+        Event::PeerUp { .. }
+        | Event::PeerSuspect { .. }
+        | Event::PeerRestarted { .. }
+        | Event::Endpoint { .. }
+        | Event::Health { .. }
+        | Event::Catalogue { .. }
+        | Event::Connection { .. }
+        | Event::Stop { .. } => "#7f7f7f",
+    }
+}
+
+fn legend() -> String {
+    let entries = [
+        ("#1f77b4", "accepted, relayed"),
+        ("#9467bd", "claimed, lost, settling"),
+        ("#ff7f0e", "sent"),
+        ("#2ca02c", "result, outcome"),
+        ("#bcbd22", "not run, undecided"),
+        ("#d62728", "lost, violation, peer down"),
+        ("#7f7f7f", "members, catalogue, connections"),
+    ];
+    let entries = entries
+        .map(|(colour, name)| format!("<span style=\"color:{colour}\">&#9679;</span> {name}"));
+    entries.join(" &nbsp; ")
+}
+
+fn picture(lines: &[Line]) -> String {
+    let instances: BTreeSet<InstanceId> = lines.iter().map(|l| l.stamp.at.instance).collect();
+    let instances: Vec<_> = instances.into_iter().collect();
+    let first = lines.first().map_or(0, |line| line.stamp.millis());
+    let last = lines.last().map_or(0, |line| line.stamp.millis());
+    let span = (last - first).max(1) as f64;
+    let height = ROW * (instances.len() as f64 + 1.0);
+    let mut svg = format!("<svg viewBox=\"0 0 {WIDTH} {height}\" width=\"100%\" role=\"img\">\n");
+    for (row, instance) in instances.iter().enumerate() {
+        let y = ROW * (row as f64 + 0.7);
+        svg.push_str(&format!(
+            "<text x=\"4\" y=\"{}\">{instance}</text><line x1=\"{MARGIN}\" x2=\"{WIDTH}\" y1=\"{y}\" y2=\"{y}\" stroke=\"#ccc\"/>\n",
+            y + 4.0
+        ));
+    }
+    let mut seen = std::collections::BTreeMap::new();
+    for line in lines {
+        let row = instances.iter().position(|i| *i == line.stamp.at.instance);
+        let share = (line.stamp.millis() - first) as f64 / span;
+        let x = MARGIN + share * (WIDTH - MARGIN - 10.0);
+        // Events of one process within a millisecond are stacked, so that none hides another.
+        let stacked = seen.entry((row, x as i64)).or_insert(0.0);
+        let y = ROW * (row.unwrap_or(0) as f64 + 0.7) - *stacked;
+        *stacked += STEP;
+        svg.push_str(&format!(
+            "<circle cx=\"{x:.1}\" cy=\"{y:.1}\" r=\"4\" fill=\"{}\"><title>{}</title></circle>\n",
+            colour(&line.event),
+            escape(&describe(line))
+        ));
+    }
+    let y = height - 6.0;
+    svg.push_str(&format!(
+        "<text x=\"{MARGIN}\" y=\"{y}\">0 ms</text><text x=\"{}\" y=\"{y}\">{span} ms</text></svg>",
+        WIDTH - 90.0
+    ));
+    svg
+}
+
+fn escape(text: &str) -> String {
+    text.replace('&', "&amp;")
+        .replace('<', "&lt;")
+        .replace('>', "&gt;")
+}
