Requests no longer wait for ever in the client's pool

The HTTP client opens one connection to an address at a time; a request that comes meanwhile waits, and with a limit of 0 connections, documented as no limit, the pool takes itself for full and never wakes it. Calls to endpoints were made the same way: a task could be held until after its deadline without ever being sent. Ruled out: the core thread (idle in epoll, no timer due), the entries (no open job). Change: a limit far above what there can be, and a limit of ours around the whole call.

--- a/crates/celerywinch_bench/src/bench/drive.rs
+++ b/crates/celerywinch_bench/src/bench/drive.rs
@@ -120,7 +120,7 @@
     let arrivals = draw(Plan {
         seed: options.seed,
         span: options.span,
-        entries: cluster.nodes.len(),
+        dcs: options.deployment.dcs,
         slots: endpoints * SLOTS,
         load: options.scenario.load,
     });
--- a/crates/celerywinch_bench/src/bench/load.rs
+++ b/crates/celerywinch_bench/src/bench/load.rs
@@ -25,7 +25,9 @@
 pub(super) struct Plan {
     pub(super) seed: u64,
     pub(super) span: Duration,
-    pub(super) entries: usize,
+    /// Entries of each data centre; the data centres have equal shares of the endpoints, and so of
+    /// the callers.
+    pub(super) dcs: &'static [(&'static str, usize)],
     pub(super) slots: usize,
     /// Offered load as a share of capacity, by time from 0 to 1 of the run.
     pub(super) load: fn(f64) -> f64,
@@ -57,24 +59,31 @@
         if at >= span {
             return arrivals;
         }
-        arrivals.push(arrival(&mut random, at, plan.entries));
+        arrivals.push(arrival(&mut random, at, plan.dcs));
     }
 }
 
-fn arrival(random: &mut ChaCha8Rng, at: f64, entries: usize) -> Arrival {
+fn arrival(random: &mut ChaCha8Rng, at: f64, dcs: &[(&str, usize)]) -> Arrival {
     let count = tasks(random);
     let run_ms: Vec<_> = (0..count).map(|_| run_time(random)).collect();
     let longest = run_ms.iter().copied().fold(0.0, f64::max);
     let deadline = (longest * 2.0).max(longest + GRACE_MS).min(9_900.0);
     Arrival {
         at: Duration::from_secs_f64(at),
-        entry: random.random_range(0..entries),
+        entry: entry(random, dcs),
         run_ms,
         deadline: Duration::from_secs_f64(deadline / 1000.0),
         team: random.random_range(0..3),
     }
 }
 
+/// Any data centre, then any entry of it.
+fn entry(random: &mut ChaCha8Rng, dcs: &[(&str, usize)]) -> usize {
+    let dc = random.random_range(0..dcs.len());
+    let before: usize = dcs[..dc].iter().map(|(_, entries)| entries).sum();
+    before + random.random_range(0..dcs[dc].1)
+}
+
 /// Most requests are small; a few jobs are large.
 fn tasks(random: &mut ChaCha8Rng) -> usize {
     match random.random_range(0..1000) {
--- a/crates/celerywinch_bench/src/bench/load_tests.rs
+++ b/crates/celerywinch_bench/src/bench/load_tests.rs
@@ -7,7 +7,7 @@
     let arrivals = draw(Plan {
         seed: 7,
         span: Duration::from_secs(400),
-        entries: 7,
+        dcs: &[("a", 3), ("b", 2)],
         slots: 400,
         load: |_| 1.0,
     });
--- a/crates/celerywinch_client/src/lib.rs
+++ b/crates/celerywinch_client/src/lib.rs
@@ -13,6 +13,9 @@
 const LONGEST: usize = 16 << 20;
 /// How long idle connections are kept.
 const KEEP_IDLE: Seconds = Seconds(4);
+/// More connections than there can be. Without a limit (0) the client never wakes a request that
+/// waits while another opens a connection to the same address: it would hang for ever.
+const MOST_CONNECTIONS: usize = 1 << 20;
 /// How long a request may take where nothing else is said.
 const TIMEOUT: Millis = Millis(40_000);
 
@@ -52,7 +55,11 @@
     /// The pool cannot be set up.
     pub async fn new(secret: Option<String>) -> anyhow::Result<Self> {
         let client = ntex::client::Client::builder()
-            .connector::<()>(Connector::default().limit(0).keep_alive(KEEP_IDLE))
+            .connector::<()>(
+                Connector::default()
+                    .limit(MOST_CONNECTIONS)
+                    .keep_alive(KEEP_IDLE),
+            )
             .disable_redirects()
             .disable_timeout()
             .response_payload_limit(LONGEST)
--- a/crates/celerywinch_node/src/calls.rs
+++ b/crates/celerywinch_node/src/calls.rs
@@ -28,6 +28,9 @@
 /// If an endpoint closed an idle connection just as a task is sent on it, the task would count as
 /// lost, and its job would fail for nothing.
 const KEEP_IDLE: Seconds = Seconds(5);
+/// More connections than there can be. Without a limit (0) the client never wakes a request that
+/// waits while another opens a connection to the same endpoint: the call would hang for ever.
+const MOST_CONNECTIONS: usize = 1 << 20;
 /// How long past its deadline a call is waited for, so that its slot is not used too early.
 const GRACE: Duration = Duration::from_millis(250);
 /// The longest result of a task, in bytes.
@@ -54,7 +57,11 @@
 impl Calls {
     pub(crate) async fn new(core: UnboundedSender<CoreMsg>, metrics: Metrics) -> Self {
         let client = Client::builder()
-            .connector::<()>(Connector::default().limit(0).keep_alive(KEEP_IDLE))
+            .connector::<()>(
+                Connector::default()
+                    .limit(MOST_CONNECTIONS)
+                    .keep_alive(KEEP_IDLE),
+            )
             // A redirect would send a task a second time.
             .disable_redirects()
             .disable_timeout()
@@ -79,7 +86,10 @@
         let (client, core) = (self.client.clone(), self.core.clone());
         ntex::rt::spawn(async move {
             let id = call.id;
-            let end = run(&client, call).await;
+            let limit = call.remaining + GRACE * 2;
+            // The client's own limit begins only when the connection is open.
+            let end = tokio::time::timeout(limit, run(&client, call)).await;
+            let end = end.unwrap_or_else(|_| CallEnd::Lost("no reply in time".into()));
             let _ = core.send(CoreMsg::Input(Input::CallEnded(id, end)));
         });
     }
--- a/crates/celerywinchd/tests/whole_path.rs
+++ b/crates/celerywinchd/tests/whole_path.rs
@@ -4,6 +4,26 @@
 
 use harness::{Plan, World, run};
 
+/// A job of sixty tasks goes to one endpoint with which no connection is open yet.
+#[test]
+fn burst_to_one_endpoint_is_answered() {
+    run(async {
+        let world = World::start(Plan {
+            dcs: vec![("bog-1", 1)],
+            endpoints: 1,
+            slots: 64,
+            ..Plan::default()
+        })
+        .await?;
+        let key = world.key(0);
+        let response = world
+            .submit(0, &key, "scan-match", 3000, &[300; 60])
+            .await?;
+        assert_eq!(response.outcome(), "answer", "{response:?}");
+        world.check().await
+    });
+}
+
 /// A caller submits a job of eight tasks to each entry in turn and gets the whole answer, in the
 /// order submitted, although the endpoints announced themselves to any entry.
 #[test]
