Admission expects the longest of a job's tasks, not the median one

Cause: at three times the capacity 33% of the messages to endpoints were wasted, on jobs of which some tasks ran and others found no slot in time. Admission let in jobs of many tasks as if their longest task took a median run. Change: the run time expected of the longest of n tasks is the quantile n/(n+1).

--- a/crates/celerywinch_client/tests/pool.rs
+++ b/crates/celerywinch_client/tests/pool.rs
@@ -15,9 +15,13 @@
 /// waits for that, and is never woken, since the pool without a limit (0) takes itself for full.
 #[test]
 fn no_request_waits_for_ever() {
-    let system = ntex::rt::System::build().name("pool").build(ntex::rt::DefaultRuntime);
+    let system = ntex::rt::System::build()
+        .name("pool")
+        .build(ntex::rt::DefaultRuntime);
     system.block_on(async {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a port is free");
         let addr = listener.local_addr().expect("it is bound");
         ntex::rt::spawn(async move {
             while let Ok((socket, _)) = listener.accept().await {
--- a/crates/celerywinch_dispatch/src/admission.rs
+++ b/crates/celerywinch_dispatch/src/admission.rs
@@ -24,8 +24,8 @@
     pub tasks: usize,
     /// Mean run time.
     pub mean: Duration,
-    /// Median run time.
-    pub median: Duration,
+    /// Run time that the longest of the job's tasks is expected to have.
+    pub longest: Duration,
     /// Time left.
     pub remaining: Duration,
 }
@@ -34,7 +34,7 @@
     /// Refuses a job that can never run, and one whose expected end lies behind its deadline.
     ///
     /// The expected end is the time until its last task gets a slot, at the rate at which slots
-    /// come free, plus a median run. Without this refusal the queue grows until every task
+    /// come free, plus the longest run to be expected of so many tasks. Without this refusal the queue grows until every task
     /// starts too late to be of use, and goodput falls while the endpoints are busy.
     ///
     /// # Errors
@@ -48,7 +48,7 @@
                 detail: "no endpoint of this data centre serves the kind at present".into(),
             });
         }
-        let alone = self.wait(self.tasks, self.all_slots) + self.median;
+        let alone = self.wait(self.tasks, self.all_slots) + self.longest;
         if alone > self.remaining && self.wait(self.tasks, self.all_slots) > Duration::ZERO {
             return Err(Refusal {
                 reason: RefusalReason::TooLarge,
@@ -57,7 +57,7 @@
             });
         }
         let busy = self.in_flight + self.ahead + self.tasks;
-        let end = self.wait(busy, self.slots.max(1)) + self.median;
+        let end = self.wait(busy, self.slots.max(1)) + self.longest;
         if end > self.remaining {
             let retry = (end - self.remaining).max(SHORTEST_RETRY);
             return Err(Refusal {
--- a/crates/celerywinch_dispatch/src/dispatch.rs
+++ b/crates/celerywinch_dispatch/src/dispatch.rs
@@ -287,8 +287,10 @@
             slots += usize::from(endpoint.health.allowance(now, own));
             all_slots += usize::from(endpoint.note.slots);
         }
-        let (mean, median) = kind.map_or((Duration::ZERO, Duration::ZERO), |kind| {
-            (kind.estimate.mean(), kind.estimate.quantile(0.5))
+        // The longest of n runs lies about where n in n + 1 of all runs end before.
+        let share = tasks as f64 / (tasks as f64 + 1.0);
+        let (mean, longest) = kind.map_or((Duration::ZERO, Duration::ZERO), |kind| {
+            (kind.estimate.mean(), kind.estimate.quantile(share))
         });
         Admission {
             endpoints: ids.len(),
@@ -298,7 +300,7 @@
             ahead: self.queue.ahead(&work.kind, work.class),
             tasks,
             mean,
-            median,
+            longest,
             remaining: work.deadline.since(now),
         }
     }
