One failure sets an endpoint aside, and slow ones are found by calls that do not end

Cause: two failing workers of 50 cost 28 jobs in 8 s: every entry had to see three failures, each of them a whole job. Slow workers were found only by finished runs, and calls given up at the deadline left no trace, so each entry filled them again and again. Change: an endpoint is set aside after one failure unless it blames the task itself (4xx) or the kind fails everywhere; calls under way beyond the 95th percentile rank an endpoint lower, and calls given up beyond it count as runs of that length.

--- a/crates/celerywinch_bench/src/soak/endpoints.rs
+++ b/crates/celerywinch_bench/src/soak/endpoints.rs
@@ -96,7 +96,10 @@
         let end = if dice < 0.03 {
             CallEnd::Lost("lost on the way back".into())
         } else if dice < 0.05 {
-            CallEnd::TaskFailed("failed".into())
+            CallEnd::TaskFailed {
+                own_fault: dice < 0.04,
+                detail: "failed".into(),
+            }
         } else {
             CallEnd::Done(TaskBody(result_text(key, task).into()))
         };
--- a/crates/celerywinch_dispatch/src/dispatch.rs
+++ b/crates/celerywinch_dispatch/src/dispatch.rs
@@ -22,6 +22,8 @@
 const KIND_FAILING: f64 = 0.5;
 /// Weight of a new run in the share of failures of a kind.
 const FAILING_WEIGHT: f64 = 0.02;
+/// The share of run times beyond which a call that is under way counts as overdue.
+const LONG: f64 = 0.95;
 /// The share of run times below which a task is not expected to end.
 const FASTEST: f64 = 0.01;
 
@@ -90,9 +92,16 @@
     /// Refused a task as full: no further ones until then.
     pub(crate) full_until: Time,
     pub(crate) gone: bool,
+    /// When each call under way was sent.
+    pub(crate) sent: Vec<Time>,
 }
 
 impl Endpoint {
+    /// Calls under way for longer than `long`.
+    pub(crate) fn overdue(&self, now: Time, long: Duration) -> usize {
+        self.sent.iter().filter(|at| now.since(**at) > long).count()
+    }
+
     fn usable(&self) -> bool {
         !self.gone && self.note.state == EndpointState::Serving
     }
@@ -237,6 +246,7 @@
             health: Health::default(),
             full_until: Time::default(),
             gone: false,
+            sent: Vec::new(),
         });
         self.by_addr.insert(note.addr, id);
         self.sweep();
@@ -350,6 +360,7 @@
             now,
             remaining: head.deadline.since(now),
             median: kind.estimate.quantile(0.5),
+            long: kind.estimate.quantile(LONG),
         };
         let endpoints = &self.endpoints;
         let candidates = kind.endpoints.iter().map(|id| Candidate {
@@ -369,6 +380,7 @@
         *self.running.entry(head.lane.1.clone()).or_default() += 1;
         let endpoint = &mut self.endpoints[id];
         endpoint.in_flight += 1;
+        endpoint.sent.push(now);
         let addr = endpoint.note.addr;
         self.mark_used(now, addr);
         Some(Start {
@@ -399,6 +411,7 @@
         &mut self,
         now: Time,
         id: EndpointId,
+        sent: Time,
         work: (&KindName, &Arc<str>),
         end: CallEnd,
     ) -> Option<HealthChange> {
@@ -416,6 +429,9 @@
         let state = self.kinds.get_mut(kind)?;
         let endpoint = self.endpoints.get_mut(id)?;
         endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
+        if let Some(place) = endpoint.sent.iter().position(|at| *at == sent) {
+            endpoint.sent.swap_remove(place);
+        }
         let change = match end {
             CallEnd::Done(run) => {
                 let median = state.estimate.quantile(0.5).max(Duration::from_micros(100));
@@ -428,7 +444,18 @@
                 endpoint.full_until = now + FULL_PAUSE;
                 None
             }
-            CallEnd::Cancelled => None,
+            CallEnd::Cancelled => {
+                // A call that was given up because it took too long never tells its run time; if it
+                // did not count, a slow endpoint would be found out again and again.
+                let ran = now.since(sent);
+                if ran > state.estimate.quantile(LONG) {
+                    let median = state.estimate.quantile(0.5).max(Duration::from_micros(100));
+                    endpoint
+                        .health
+                        .slow(now, ran.as_secs_f64() / median.as_secs_f64());
+                }
+                None
+            }
         };
         if endpoint.gone && endpoint.in_flight == 0 {
             self.endpoints.remove(id);
--- a/crates/celerywinch_dispatch/src/health.rs
+++ b/crates/celerywinch_dispatch/src/health.rs
@@ -4,13 +4,13 @@
 
 use celerywinch_types::Time;
 
-/// Failures in a row after which an endpoint is set aside.
+/// How long an endpoint is set aside after a failure; each further time doubles it.
 ///
-/// An endpoint that fails every task at once looks the least loaded and draws all the work. One
-/// failure already moves it behind the others; three are few enough to lose few jobs.
-const FAILURES: u32 = 3;
-/// How long it is set aside the first time; each further time doubles it.
-const FIRST_PAUSE: Duration = Duration::from_secs(1);
+/// An endpoint that fails every task at once looks the least loaded and draws all the work, and
+/// every task that it fails costs a whole job, so one failure is enough: what the task itself is to
+/// blame for does not come here, nor does what fails everywhere. One that failed by chance is back
+/// after a moment.
+const FIRST_PAUSE: Duration = Duration::from_millis(500);
 /// The longest pause.
 const LONGEST_PAUSE: Duration = Duration::from_secs(30);
 /// Successes after which an endpoint on probation is trusted again.
@@ -66,8 +66,7 @@
     pub fn success(&mut self, now: Time, ratio: f64) -> Option<HealthChange> {
         self.failures = 0;
         self.end_pause(now);
-        self.slowness = self.slowness(now) * (1.0 - SLOW_WEIGHT) + ratio * SLOW_WEIGHT;
-        self.measured = now;
+        self.slow(now, ratio);
         match self.trust {
             Trust::Probation { successes } if successes + 1 >= SUCCESSES => {
                 self.trust = Trust::Good;
@@ -84,14 +83,18 @@
         }
     }
 
+    /// Takes a run time over the median of its kind.
+    pub fn slow(&mut self, now: Time, ratio: f64) {
+        self.slowness = self.slowness(now) * (1.0 - SLOW_WEIGHT) + ratio * SLOW_WEIGHT;
+        self.measured = now;
+    }
+
     /// Takes a failure. `blame` is false where the whole kind or too many endpoints fail: setting
     /// yet another aside would only drown the rest.
     pub fn failure(&mut self, now: Time, blame: bool) -> Option<HealthChange> {
         self.failures += 1;
         self.end_pause(now);
-        let on_probation = matches!(self.trust, Trust::Probation { .. });
-        let over = self.failures >= FAILURES || on_probation;
-        if !blame || !over || matches!(self.trust, Trust::SetAside { .. }) {
+        if !blame || matches!(self.trust, Trust::SetAside { .. }) {
             return None;
         }
         let pause = FIRST_PAUSE * 2_u32.saturating_pow(self.pauses.min(8));
--- a/crates/celerywinch_dispatch/src/routing.rs
+++ b/crates/celerywinch_dispatch/src/routing.rs
@@ -9,6 +9,9 @@
 use crate::dispatch::{Endpoint, EndpointId};
 use crate::health::SLOW;
 
+/// Overdue calls of one endpoint that may be chance.
+const TOLERATED: usize = 1;
+
 /// How endpoints are chosen; all but the first are baselines to measure against.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Policy {
@@ -34,6 +37,8 @@
     pub(crate) now: Time,
     pub(crate) remaining: Duration,
     pub(crate) median: Duration,
+    /// A run time that few tasks of the kind exceed.
+    pub(crate) long: Duration,
 }
 
 /// Chooses among the endpoints of a kind; `None` means that the task waits.
@@ -79,12 +84,12 @@
         }
         let slow = if slowness >= SLOW { slowness as u32 } else { 0 };
         let load = u32::from(endpoint.in_flight) * 64 / u32::from(endpoint.note.slots.max(1));
-        let rank = (
-            endpoint.health.doubtful(),
-            slow,
-            load,
-            random.random::<u32>(),
-        );
+        // A slow endpoint shows by calls that do not end long before their run times are known.
+        let overdue = endpoint
+            .overdue(place.now, place.long)
+            .saturating_sub(TOLERATED);
+        let chance = random.random::<u32>();
+        let rank = (endpoint.health.doubtful(), slow, overdue, load, chance);
         if best.as_ref().is_none_or(|(least, _)| rank < *least) {
             best = Some((rank, id));
         }
--- a/crates/celerywinch_entry/src/io.rs
+++ b/crates/celerywinch_entry/src/io.rs
@@ -57,7 +57,12 @@
     /// The task ran and gave this result.
     Done(TaskBody),
     /// The task ran and failed.
-    TaskFailed(String),
+    TaskFailed {
+        /// Whether the endpoint blames the task itself; otherwise the endpoint is suspected.
+        own_fault: bool,
+        /// One sentence.
+        detail: String,
+    },
     /// The task did not run: the connection was never made, or the endpoint said so.
     NotRun {
         /// Whether the endpoint itself said so; otherwise it could not be reached.
--- a/crates/celerywinch_entry/src/tasks.rs
+++ b/crates/celerywinch_entry/src/tasks.rs
@@ -154,7 +154,7 @@
                     self.all_done(now, job, out);
                 }
             }
-            CallEnd::TaskFailed(detail) => {
+            CallEnd::TaskFailed { detail, .. } => {
                 self.task_lost(now, &call, Ran::Yes, detail, out);
             }
             CallEnd::Lost(detail) => self.task_lost(now, &call, Ran::Maybe, detail, out),
@@ -167,11 +167,18 @@
             _ if call.aborted => HealthEnd::Cancelled,
             CallEnd::Done(_) => HealthEnd::Done(now.since(call.sent)),
             CallEnd::NotRun { refused: true, .. } => HealthEnd::Refused,
-            CallEnd::TaskFailed(_) | CallEnd::Lost(_) | CallEnd::NotRun { .. } => HealthEnd::Failed,
+            CallEnd::TaskFailed {
+                own_fault: true, ..
+            } => HealthEnd::Cancelled,
+            CallEnd::TaskFailed { .. } | CallEnd::Lost(_) | CallEnd::NotRun { .. } => {
+                HealthEnd::Failed
+            }
         };
         let endpoint = self.addr_of(call.endpoint);
         let work = (&call.kind, &call.team);
-        let change = self.dispatch.finish(now, call.endpoint, work, end);
+        let change = self
+            .dispatch
+            .finish(now, call.endpoint, call.sent, work, end);
         if let Some(change) = change {
             let state = match change {
                 HealthChange::SetAside => "set_aside",
--- a/crates/celerywinch_node/src/calls.rs
+++ b/crates/celerywinch_node/src/calls.rs
@@ -165,10 +165,16 @@
         };
     }
     if status != StatusCode::OK {
-        return CallEnd::TaskFailed(format!("status {}: {text}", status.as_u16()));
+        return CallEnd::TaskFailed {
+            own_fault: status.is_client_error(),
+            detail: format!("status {}: {text}", status.as_u16()),
+        };
     }
     if serde_json::from_str::<serde::de::IgnoredAny>(&text).is_err() {
-        return CallEnd::TaskFailed("the result is not JSON".into());
+        return CallEnd::TaskFailed {
+            own_fault: false,
+            detail: "the result is not JSON".into(),
+        };
     }
     CallEnd::Done(TaskBody(text.into()))
 }
