--- a/crates/celerywinch_bench/src/slopes/control.rs
+++ b/crates/celerywinch_bench/src/slopes/control.rs
@@ -19,6 +19,9 @@
 
 /// How long the cluster runs before anything is counted.
 const WARM_UP: Duration = Duration::from_secs(4);
+/// The same for the spreading of a catalogue: every instance must have met every other.
+const SPREAD_WARM_UP: Duration = Duration::from_millis(1200);
+const SPREAD_COUNTED: Duration = Duration::from_millis(400);
 /// How long is counted.
 const COUNTED: Duration = Duration::from_secs(10);
 /// One way between instances of one data centre, and of two.
@@ -135,13 +138,13 @@
 /// Time from the commit at the leader until a version is in force everywhere.
 fn spread(size: Size) -> anyhow::Result<Vec<Row>> {
     let mut sim = Sim::new(size)?;
-    sim.run(WARM_UP, size);
+    sim.run(SPREAD_WARM_UP, size);
     sim.reset();
     let began = sim.now;
     sim.version += 1;
     let catalogue = catalogue(sim.version, size.teams)?;
     sim.input(0, Input::Committed(catalogue, true));
-    sim.run(Duration::from_secs(3), size);
+    sim.run(SPREAD_COUNTED, size);
     let mut times: Vec<_> = sim
         .in_force
         .values()
@@ -161,7 +164,7 @@
         ),
         Row::new("commit to in force, last instance", size.text(), last, "ms"),
         Row::new(
-            "bytes sent by the leader in those 3 s",
+            "bytes sent by the leader for one change",
             size.text(),
             leader,
             "KB",
--- a/crates/celerywinch_bench/src/slopes/memory.rs
+++ b/crates/celerywinch_bench/src/slopes/memory.rs
@@ -21,9 +21,11 @@
 const WALL: u64 = 1_700_000_000_000;
 
 pub(super) fn measure() -> anyhow::Result<Vec<Row>> {
+    // What was measured stays in use until the end, or the next growth would not show.
+    let mut used = Vec::new();
     let mut rows = Vec::new();
-    rows.push(open_jobs()?);
-    rows.extend(decisions()?);
+    rows.push(open_jobs(&mut used)?);
+    rows.extend(decisions(&mut used)?);
     Ok(rows)
 }
 
@@ -71,7 +73,7 @@
     })
 }
 
-fn open_jobs() -> anyhow::Result<Row> {
+fn open_jobs(used: &mut Vec<Entry>) -> anyhow::Result<Row> {
     let mut entry = lone_entry(8)?;
     // Announcements lapse unless renewed; none of this takes long enough.
     let mut out = Vec::new();
@@ -85,12 +87,13 @@
     let open = entry.status().open;
     anyhow::ensure!(open as u64 == OPEN, "only {open} are open");
     let bytes = resident_bytes().saturating_sub(before) as f64 / OPEN as f64;
+    used.push(entry);
     let sizes = format!("{OPEN} open submissions of 1 task, {BODY} B bodies");
     Ok(Row::new("memory of an open submission", sizes, bytes, "B"))
 }
 
 /// Time of all decisions about a task, in jobs of several sizes; messages and calls not included.
-fn decisions() -> anyhow::Result<Vec<Row>> {
+fn decisions(used: &mut Vec<Entry>) -> anyhow::Result<Vec<Row>> {
     let mut rows = Vec::new();
     for tasks in [1_usize, 20, 240] {
         let mut entry = lone_entry(400)?;
@@ -114,6 +117,7 @@
         ));
         let records = entry.status().records.max(1);
         let bytes = resident_bytes().saturating_sub(memory) as f64 / records as f64;
+        used.push(entry);
         rows.push(Row::new(
             "memory of a remembered key and outcome",
             sizes,
--- a/crates/celerywinch_bench/src/slopes/mod.rs
+++ b/crates/celerywinch_bench/src/slopes/mod.rs
@@ -7,6 +7,7 @@
 
 mod control;
 mod memory;
+mod real;
 mod store;
 
 use serde::Serialize;
@@ -41,9 +42,11 @@
 ///
 /// The shipped catalogue has a fault, or a disk or socket cannot be used.
 pub async fn run() -> anyhow::Result<Vec<Row>> {
-    let mut rows = control::measure()?;
-    rows.extend(memory::measure()?);
+    // Memory first: later on the allocator hands out what was used before.
+    let mut rows = memory::measure()?;
+    rows.extend(real::measure().await?);
     rows.extend(store::measure().await?);
+    rows.extend(control::measure()?);
     Ok(rows)
 }
 
--- /dev/null
+++ b/crates/celerywinch_bench/src/slopes/real.rs
@@ -0,0 +1,78 @@
+//! What idle instances cost, measured on real ones over loopback.
+
+use std::time::Duration;
+
+use celerywinch_dispatch::Policy;
+
+use super::Row;
+use crate::bench::{resident_bytes, thread_seconds};
+use crate::cluster::Cluster;
+use crate::deployment::{CONDOR, Deployment};
+
+/// How long idle instances are watched.
+const WATCHED: Duration = Duration::from_secs(8);
+
+/// Layouts to measure, with their numbers of endpoints.
+const LAYOUTS: &[(&[(&str, usize)], usize)] = &[
+    (&[("a", 3)], 3),
+    (&[("a", 3), ("b", 2), ("c", 2)], 6),
+    (&[("a", 3), ("b", 3), ("c", 3), ("d", 3)], 8),
+    (&[("a", 3), ("b", 3), ("c", 3), ("d", 3)], 96),
+];
+
+pub(super) async fn measure() -> anyhow::Result<Vec<Row>> {
+    let mut rows = Vec::new();
+    for (dcs, endpoints) in LAYOUTS {
+        rows.extend(idle(dcs, *endpoints).await?);
+    }
+    Ok(rows)
+}
+
+async fn idle(dcs: &'static [(&'static str, usize)], endpoints: usize) -> anyhow::Result<Vec<Row>> {
+    let deployment = Deployment { dcs, ..CONDOR };
+    let before = resident_bytes();
+    let cluster = Cluster::start(&deployment, endpoints, None, Policy::default()).await?;
+    let nodes = cluster.nodes.len();
+    let bytes_before = bytes_sent(&cluster).await?;
+    let core_before = thread_seconds("core-");
+    tokio::time::sleep(WATCHED).await;
+    let core = (thread_seconds("core-") - core_before) / nodes as f64;
+    let bytes = (bytes_sent(&cluster).await? - bytes_before) / nodes as f64;
+    let memory = resident_bytes().saturating_sub(before) as f64 / nodes as f64;
+    cluster.stop().await?;
+    let seconds = WATCHED.as_secs_f64();
+    let sizes = format!(
+        "{nodes} real entries, {} data centres, {endpoints} endpoints",
+        dcs.len()
+    );
+    Ok(vec![
+        Row::new(
+            "idle core thread, processor",
+            sizes.clone(),
+            core / seconds * 100.0,
+            "% of a core",
+        ),
+        Row::new(
+            "idle bytes sent to instances",
+            sizes.clone(),
+            bytes / seconds / 1000.0,
+            "KB/s",
+        ),
+        Row::new(
+            "idle memory, with its share of endpoints",
+            sizes,
+            memory / 1e6,
+            "MB",
+        ),
+    ])
+}
+
+async fn bytes_sent(cluster: &Cluster) -> anyhow::Result<f64> {
+    let mut sum = 0.0;
+    for index in 0..cluster.nodes.len() {
+        let metrics = cluster.metrics(index).await?;
+        let sent = metrics.get("celerywinch_peer_bytes_sent_total");
+        sum += sent.copied().unwrap_or(0.0);
+    }
+    Ok(sum)
+}
