--- a/crates/celerywinch/src/commands/bench.rs
+++ b/crates/celerywinch/src/commands/bench.rs
@@ -21,7 +21,7 @@
 
 const BRIEF: &str = "Usage: celerywinch bench [--scenario NAME]... [--deployment NAME] [--seed N]\n\
     \x20                        [--seconds S] [--baselines] [--json OUT]\n\
-    \x20      celerywinch bench --slopes [--json OUT]\n\n\
+    \x20      celerywinch bench --slopes | --overhead [--json OUT]\n\n\
     Starts the entries of a deployment and its endpoints in this process, submits in an open loop,\n\
     and shows response time over the longest task, outcomes and wasted messages. With\n\
     `--baselines`, other ways to choose endpoints run in the same call. `--slopes` measures what\n\
@@ -43,11 +43,16 @@
     options.optopt("", "seconds", "how long callers submit; 10 without it", "S");
     options.optflag("", "baselines", "run the baselines too");
     options.optflag("", "slopes", "measure what control costs");
+    options.optflag(
+        "",
+        "overhead",
+        "measure what the whole path adds to a direct call",
+    );
     options.optopt("", "json", "write the results to a file", "OUT");
     let Some(matches) = parse(&mut options, &brief(), arguments)? else {
         return Ok(ExitStatus::Success);
     };
-    if matches.opt_present("slopes") {
+    if matches.opt_present("slopes") || matches.opt_present("overhead") {
         return run_slopes(&matches);
     }
     let runs = plan(&matches)?;
@@ -128,7 +133,11 @@
 
 fn run_slopes(matches: &Matches) -> anyhow::Result<ExitStatus> {
     let system = System::build().name("slopes").build(DefaultRuntime);
-    let slopes = system.block_on(slopes::run())?;
+    let slopes = if matches.opt_present("overhead") {
+        system.block_on(slopes::overhead())?
+    } else {
+        system.block_on(slopes::run())?
+    };
     println!("{}", slopes::table(&slopes));
     write_json(matches, &slopes)?;
     Ok(ExitStatus::Success)
--- a/crates/celerywinch_bench/src/slopes/mod.rs
+++ b/crates/celerywinch_bench/src/slopes/mod.rs
@@ -7,6 +7,7 @@
 
 mod control;
 mod memory;
+mod overhead;
 mod real;
 mod store;
 
@@ -44,12 +45,22 @@
 pub async fn run() -> anyhow::Result<Vec<Row>> {
     // Memory first: later on the allocator hands out what was used before.
     let mut rows = memory::measure()?;
+    rows.extend(overhead::measure().await?);
     rows.extend(real::measure().await?);
     rows.extend(store::measure().await?);
     rows.extend(control::measure()?);
     Ok(rows)
 }
 
+/// Measures only what the whole path adds to a direct call.
+///
+/// # Errors
+///
+/// The cluster cannot be started.
+pub async fn overhead() -> anyhow::Result<Vec<Row>> {
+    overhead::measure().await
+}
+
 /// The rows as a table.
 #[must_use]
 pub fn table(rows: &[Row]) -> String {
