--- a/crates/celerywinch/src/commands/mod.rs
+++ b/crates/celerywinch/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod catalogue;
 mod check;
 mod operator;
+mod report;
 mod soak;
 mod status;
 mod timeline;
@@ -30,6 +31,7 @@
     timeline::COMMAND,
     soak::COMMAND,
     bench::COMMAND,
+    report::COMMAND,
 ];
 
 /// Runs the command that the arguments name.
--- /dev/null
+++ b/crates/celerywinch_bench/src/report.rs
@@ -0,0 +1,164 @@
+//! Results of the bench as one self-contained page with plots.
+
+use anyhow::Context;
+use plotters::prelude::*;
+
+use crate::bench::{Figures, RunResult};
+
+/// Size of a plot, in pixels.
+const SIZE: (u32, u32) = (720, 320);
+
+/// The page: a table, a comparison of the first two runs, and plots.
+///
+/// # Errors
+///
+/// A plot cannot be drawn.
+pub fn page(results: &[RunResult]) -> anyhow::Result<String> {
+    let mut html = String::from(
+        "<!doctype html>\n<html lang=\"en\"><meta charset=\"utf-8\"><title>Bench</title>\n\
+         <style>body{font:14px sans-serif;margin:2em}td,th{padding:2px 10px;text-align:right}\
+         </style>\n<h1>Bench</h1>\n",
+    );
+    html.push_str(&table(results));
+    if let [first, second, ..] = results {
+        html.push_str(&comparison(first, second));
+    }
+    html.push_str("<h2>Response time over the longest task, p99</h2>\n");
+    html.push_str(&bars(results, |f| f.ratio[1])?);
+    html.push_str("<h2>Wasted messages for each useful one</h2>\n");
+    html.push_str(&bars(results, wasted)?);
+    html.push_str("<h2>Answered on time, by tenth of the run</h2>\n");
+    html.push_str(&lines(results)?);
+    html.push_str("</html>\n");
+    Ok(html)
+}
+
+fn name(result: &RunResult) -> String {
+    format!(
+        "{} {} {}",
+        result.deployment, result.scenario, result.policy
+    )
+}
+
+/// Messages to endpoints beyond those of answers on time, for each of those.
+fn wasted(figures: &Figures) -> f64 {
+    let sent = figures.starts + figures.full + figures.leaving;
+    sent.saturating_sub(figures.useful) as f64 / figures.useful.max(1) as f64
+}
+
+/// What is shown of a run, by name.
+fn columns(figures: &Figures) -> [(&'static str, f64); 10] {
+    [
+        ("submitted", figures.submitted as f64),
+        ("on time", figures.answered as f64),
+        ("failed", figures.failed as f64),
+        ("refused", figures.refused as f64),
+        ("useful tasks", figures.useful as f64),
+        ("ratio p50", figures.ratio[0]),
+        ("ratio p99", figures.ratio[1]),
+        ("ideal p99", figures.ideal_ratio[1]),
+        ("wasted", wasted(figures)),
+        ("core us a start", figures.core_us),
+    ]
+}
+
+fn table(results: &[RunResult]) -> String {
+    let mut html = String::from("<table><tr><th>run</th>");
+    for (name, _) in columns(&Figures::default()) {
+        html.push_str(&format!("<th>{name}</th>"));
+    }
+    html.push_str("</tr>\n");
+    for result in results {
+        html.push_str(&format!("<tr><td>{}</td>", name(result)));
+        for (_, value) in columns(&result.figures) {
+            html.push_str(&format!("<td>{}</td>", (value * 1000.0).round() / 1000.0));
+        }
+        html.push_str("</tr>\n");
+    }
+    html.push_str("</table>\n");
+    html
+}
+
+/// Two runs as ratios: machines are noisy, so only runs of one call compare.
+fn comparison(first: &RunResult, second: &RunResult) -> String {
+    let mut html = format!("<h2>{} over {}</h2>\n<ul>\n", name(second), name(first));
+    let pairs = columns(&first.figures)
+        .into_iter()
+        .zip(columns(&second.figures));
+    for ((name, one), (_, other)) in pairs {
+        if one > 0.0 {
+            html.push_str(&format!("<li>{name}: {:.3}</li>\n", other / one));
+        }
+    }
+    html.push_str("</ul>\n");
+    html
+}
+
+fn bars(results: &[RunResult], value: impl Fn(&Figures) -> f64) -> anyhow::Result<String> {
+    let most = results
+        .iter()
+        .map(|r| value(&r.figures))
+        .fold(0.0, f64::max);
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+        let mut chart = ChartBuilder::on(&area)
+            .margin(10)
+            .x_label_area_size(10)
+            .y_label_area_size(50)
+            .build_cartesian_2d(0.0..results.len() as f64, 0.0..most.max(0.001) * 1.1)
+            .context("report: cannot lay out a plot")?;
+        chart
+            .configure_mesh()
+            .disable_x_mesh()
+            .x_labels(0)
+            .draw()
+            .context("report: cannot draw a plot")?;
+        for (place, result) in results.iter().enumerate() {
+            let (left, right) = (place as f64 + 0.1, place as f64 + 0.9);
+            let corners = [(left, 0.0), (right, value(&result.figures))];
+            let colour = Palette99::pick(place).filled();
+            chart
+                .draw_series([Rectangle::new(corners, colour)])
+                .context("report: cannot draw a plot")?;
+        }
+    }
+    Ok(svg + &legend(results))
+}
+
+fn lines(results: &[RunResult]) -> anyhow::Result<String> {
+    let tenths = results.iter().flat_map(|r| r.figures.answered_by_tenth);
+    let most = tenths.max().unwrap_or(1).max(1);
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+        let mut chart = ChartBuilder::on(&area)
+            .margin(10)
+            .x_label_area_size(20)
+            .y_label_area_size(50)
+            .build_cartesian_2d(0_usize..9, 0..most)
+            .context("report: cannot lay out a plot")?;
+        chart
+            .configure_mesh()
+            .draw()
+            .context("report: cannot draw a plot")?;
+        for (place, result) in results.iter().enumerate() {
+            let points = result.figures.answered_by_tenth.into_iter().enumerate();
+            let series = LineSeries::new(points, Palette99::pick(place).stroke_width(2));
+            chart
+                .draw_series(series)
+                .context("report: cannot draw a plot")?;
+        }
+    }
+    Ok(svg + &legend(results))
+}
+
+fn legend(results: &[RunResult]) -> String {
+    let entries = results.iter().enumerate().map(|(place, result)| {
+        let (red, green, blue) = Palette99::COLORS[place % Palette99::COLORS.len()];
+        let name = name(result);
+        format!("<span style=\"color:rgb({red},{green},{blue})\">&#9632;</span> {name}")
+    });
+    let entries: Vec<_> = entries.collect();
+    format!("<p>{}</p>\n", entries.join(" &nbsp; "))
+}
--- a/crates/celerywinch_dispatch/src/dispatch.rs
+++ b/crates/celerywinch_dispatch/src/dispatch.rs
@@ -11,7 +11,7 @@
 use rand_chacha::ChaCha8Rng;
 use slotmap::{SlotMap, new_key_type};
 
-use crate::loans::{IDLE, LEASE, Loan, MARGIN};
+use crate::loans::Loan;
 use crate::queue::{Head, Queue};
 use crate::routing::{Candidate, Placement, choose};
 use crate::{Admission, Estimate, Health, HealthChange, Policy, share};
@@ -106,7 +106,7 @@
         !self.gone && self.note.state == EndpointState::Serving
     }
 
-    fn own(&self) -> u16 {
+    pub(crate) fn own(&self) -> u16 {
         (self.share + self.borrowed).saturating_sub(self.lent)
     }
 
@@ -125,10 +125,10 @@
 const FULL_PAUSE: Duration = Duration::from_millis(10);
 
 #[derive(Debug)]
-struct KindState {
+pub(crate) struct KindState {
     class: Class,
     estimate: Estimate,
-    endpoints: Vec<EndpointId>,
+    pub(crate) endpoints: Vec<EndpointId>,
     failing: f64,
 }
 
@@ -138,16 +138,16 @@
     me: InstanceId,
     policy: Policy,
     owners: Vec<InstanceId>,
-    endpoints: SlotMap<EndpointId, Endpoint>,
-    by_addr: BTreeMap<SocketAddr, EndpointId>,
-    kinds: BTreeMap<KindName, KindState>,
-    queue: Queue,
+    pub(crate) endpoints: SlotMap<EndpointId, Endpoint>,
+    pub(crate) by_addr: BTreeMap<SocketAddr, EndpointId>,
+    pub(crate) kinds: BTreeMap<KindName, KindState>,
+    pub(crate) queue: Queue,
     jobs: HashMap<JobId, Work>,
     running: HashMap<Arc<str>, u32>,
     quotas: HashMap<Arc<str>, u32>,
-    lent: BTreeMap<u64, Loan>,
-    borrowed: Vec<Loan>,
-    next_loan: u64,
+    pub(crate) lent: BTreeMap<u64, Loan>,
+    pub(crate) borrowed: Vec<Loan>,
+    pub(crate) next_loan: u64,
     turn: usize,
     random: ChaCha8Rng,
 }
@@ -505,124 +505,6 @@
             .collect()
     }
 
-    /// Lends up to half of the idle slots of a kind's endpoints, if nothing of that kind waits here.
-    pub fn lend(
-        &mut self,
-        now: Time,
-        peer: InstanceId,
-        kind: &str,
-        count: u16,
-    ) -> Option<(u64, Vec<(SocketAddr, u16)>)> {
-        if self.queue.kind_len(kind) > 0 {
-            return None;
-        }
-        let ids = self.kinds.get(kind)?.endpoints.clone();
-        let free: u16 = ids.iter().map(|id| self.endpoints[*id].free(now)).sum();
-        let mut left = count.min(free.div_ceil(2));
-        let mut slots = Vec::new();
-        for id in ids {
-            let endpoint = &mut self.endpoints[id];
-            let give = endpoint.free(now).min(left);
-            // A borrowed slot is not lent on: its lender would wait for it in vain.
-            let give = give.min(endpoint.share.saturating_sub(endpoint.lent));
-            if give > 0 && !endpoint.health.doubtful() {
-                endpoint.lent += give;
-                left -= give;
-                slots.push((endpoint.note.addr, give));
-            }
-        }
-        if slots.is_empty() {
-            return None;
-        }
-        let id = self.next_loan;
-        self.next_loan += 1;
-        let loan = Loan {
-            id,
-            peer,
-            slots: slots.clone(),
-            until: now + LEASE,
-            used: now,
-        };
-        self.lent.insert(id, loan);
-        Some((id, slots))
-    }
-
-    /// Takes a loan; slots of endpoints that are not known here are of no use and stay unused.
-    pub fn borrow(&mut self, now: Time, loan: Loan) {
-        for (addr, count) in &loan.slots {
-            if let Some(id) = self.by_addr.get(addr) {
-                self.endpoints[*id].borrowed += count;
-            }
-        }
-        let until = now + (LEASE - MARGIN);
-        self.borrowed.push(Loan {
-            until,
-            used: now,
-            ..loan
-        });
-    }
-
-    /// A loan came back.
-    pub fn returned(&mut self, peer: InstanceId, id: u64) {
-        if self.lent.get(&id).is_some_and(|loan| loan.peer == peer)
-            && let Some(loan) = self.lent.remove(&id)
-        {
-            self.unlend(&loan);
-        }
-    }
-
-    fn unlend(&mut self, loan: &Loan) {
-        for (addr, count) in &loan.slots {
-            if let Some(id) = self.by_addr.get(addr) {
-                let endpoint = &mut self.endpoints[*id];
-                endpoint.lent = endpoint.lent.saturating_sub(*count);
-            }
-        }
-    }
-
-    /// Ends loans that ran out, and gives back those of no use; returns what to give back.
-    pub fn tick(&mut self, now: Time) -> Vec<(InstanceId, u64)> {
-        let over: Vec<_> = self
-            .lent
-            .values()
-            .filter(|l| l.until <= now)
-            .cloned()
-            .collect();
-        for loan in over {
-            self.unlend(&loan);
-            self.lent.remove(&loan.id);
-        }
-        let loans = std::mem::take(&mut self.borrowed);
-        let (over, kept): (Vec<_>, Vec<_>) = loans.into_iter().partition(|loan| {
-            loan.until <= now || (self.idle(loan) && now.since(loan.used) > IDLE)
-        });
-        self.borrowed = kept;
-        for loan in &over {
-            self.unborrow(loan);
-        }
-        over.into_iter().map(|loan| (loan.peer, loan.id)).collect()
-    }
-
-    fn unborrow(&mut self, loan: &Loan) {
-        for (addr, count) in &loan.slots {
-            if let Some(id) = self.by_addr.get(addr) {
-                let endpoint = &mut self.endpoints[*id];
-                endpoint.borrowed = endpoint.borrowed.saturating_sub(*count);
-            }
-        }
-    }
-
-    /// Whether a loan's slots are idle and would not be needed if they were gone.
-    fn idle(&self, loan: &Loan) -> bool {
-        self.queue.len() == 0
-            && loan.slots.iter().all(|(addr, count)| {
-                self.by_addr.get(addr).is_none_or(|id| {
-                    let endpoint = &self.endpoints[*id];
-                    endpoint.in_flight + count <= endpoint.own()
-                })
-            })
-    }
-
     /// Endpoints known, and how many of them are set aside or on probation.
     #[must_use]
     pub fn census(&self) -> (usize, usize) {
--- a/crates/celerywinch_node/src/http/callers.rs
+++ b/crates/celerywinch_node/src/http/callers.rs
@@ -179,14 +179,10 @@
 
 fn refused(refusal: &Refusal) -> Problem {
     let status = match refusal.reason {
-        RefusalReason::Quota => 429,
         RefusalReason::TooLarge => 422,
         RefusalReason::Cancelled => 409,
         RefusalReason::Deadline => 504,
-        RefusalReason::Overload
-        | RefusalReason::NoEndpoint
-        | RefusalReason::Stopping
-        | RefusalReason::Unclaimed => 503,
+        RefusalReason::Overload | RefusalReason::NoEndpoint | RefusalReason::Unclaimed => 503,
     };
     Problem::new(status, "refusal", "not run")
         .ran("no")
--- a/crates/celerywinch_node/src/http/endpoints.rs
+++ b/crates/celerywinch_node/src/http/endpoints.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use celerywinch_entry::Input;
 use celerywinch_members::{LEASE, RENEWAL};
@@ -46,7 +45,6 @@
         Ok(note) => note,
         Err(problem) => return problem.response(),
     };
-    shared.announcements.fetch_add(1, Ordering::Relaxed);
     if shared
         .core
         .send(CoreMsg::Input(Input::Announce(note)))
--- a/crates/celerywinch_node/src/node.rs
+++ b/crates/celerywinch_node/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::TcpListener;
-use std::sync::atomic::{AtomicBool, AtomicU64};
+use std::sync::atomic::AtomicBool;
 use std::sync::mpsc::{Receiver, channel};
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
@@ -91,7 +91,6 @@
             store,
             current: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
-            announcements: AtomicU64::new(0),
             remembers_from: OnceLock::new(),
             settings,
         });
--- a/crates/celerywinch_node/src/shared.rs
+++ b/crates/celerywinch_node/src/shared.rs
@@ -1,7 +1,7 @@
 //! What the threads of a process share: snapshots, and the channel to the core.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::Sender;
 use std::sync::{Arc, OnceLock};
 use std::time::Instant;
@@ -112,7 +112,6 @@
     pub(crate) stopping: AtomicBool,
     /// Whether the catalogue in force is no older than it was before this process started.
     pub(crate) current: AtomicBool,
-    pub(crate) announcements: AtomicU64,
     /// When the replicas here stop to abstain on keys that are new; set by the core.
     pub(crate) remembers_from: OnceLock<Instant>,
 }
--- a/crates/celerywinch_types/src/outcome.rs
+++ b/crates/celerywinch_types/src/outcome.rs
@@ -21,8 +21,6 @@
     #[derive(Copy, Hash)]
     #[serde(rename_all = "snake_case")]
     pub enum Step {
-        /// Checks before anything else.
-        Admission,
         /// Agreement on which entry starts the tasks.
         Claim,
         /// Waiting for a free slot.
@@ -31,10 +29,6 @@
         Connect,
         /// A task at an endpoint.
         Run,
-        /// Agreement on the outcome.
-        Settle,
-        /// Passing the submission to its home data centre.
-        Relay,
     }
 
     /// Why a submission was refused.
@@ -43,8 +37,6 @@
     pub enum RefusalReason {
         /// The time left does not suffice for the queue and the run.
         Overload,
-        /// The team is over its quota and there is no spare capacity.
-        Quota,
         /// No endpoint of the data centre serves the kind.
         NoEndpoint,
         /// The job is larger than the data centre can ever run.
@@ -53,8 +45,6 @@
         Deadline,
         /// The caller cancelled it before anything started.
         Cancelled,
-        /// This entry is stopping.
-        Stopping,
         /// The claim was lost before anything started.
         Unclaimed,
     }
