--- a/crates/celerywinch/src/commands/try_it.rs
+++ b/crates/celerywinch/src/commands/try_it.rs
@@ -1,5 +1,7 @@
 //! `celerywinch try`: runs the main job with nothing else set up.
 
+use std::path::PathBuf;
+
 use celerywinch_bench::trial;
 use ntex::rt::{DefaultRuntime, System};
 
@@ -13,18 +15,20 @@
     run,
 };
 
-const BRIEF: &str = "Usage: celerywinch try\n\n\
+const BRIEF: &str = "Usage: celerywinch try [--timeline FOLDER]\n\n\
     Starts the entries of both example deployments and stand-in endpoints on loopback ports,\n\
     submits jobs, a resubmission, a refusal and a failure, and shows each outcome.\n\
     Exits 0 only if all invariants held.";
 
 fn run(arguments: &[String]) -> anyhow::Result<ExitStatus> {
     let mut options = getopts::Options::new();
-    if parse(&mut options, BRIEF, arguments)?.is_none() {
+    options.optopt("", "timeline", "write time lines to a folder", "FOLDER");
+    let Some(matches) = parse(&mut options, BRIEF, arguments)? else {
         return Ok(ExitStatus::Success);
-    }
+    };
+    let folder = matches.opt_str("timeline").map(PathBuf::from);
     let system = System::build().name("try").build(DefaultRuntime);
-    let held = system.block_on(trial::run())?;
+    let held = system.block_on(trial::run(folder))?;
     Ok(if held {
         ExitStatus::Success
     } else {
--- a/crates/celerywinch_bench/src/trial.rs
+++ b/crates/celerywinch_bench/src/trial.rs
@@ -1,5 +1,6 @@
 //! The main job, with nothing else set up.
 
+use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
 use celerywinch_dispatch::Policy;
@@ -111,15 +112,16 @@
     },
 ];
 
-/// Runs the main job of both deployments; true if everything held.
+/// Runs the main job of both deployments; true if everything held. Time lines are written to
+/// `folder`, if there is one.
 ///
 /// # Errors
 ///
 /// A part could not be started or did not answer.
-pub async fn run() -> anyhow::Result<bool> {
+pub async fn run(folder: Option<PathBuf>) -> anyhow::Result<bool> {
     let mut held = true;
     for deployment in ALL {
-        held &= run_one(deployment).await?;
+        held &= run_one(deployment, folder.as_deref()).await?;
     }
     println!(
         "{}",
@@ -132,8 +134,8 @@
     Ok(held)
 }
 
-async fn run_one(deployment: &Deployment) -> anyhow::Result<bool> {
-    let cluster = Cluster::start(deployment, ENDPOINTS, None, Policy::default()).await?;
+async fn run_one(deployment: &Deployment, folder: Option<&Path>) -> anyhow::Result<bool> {
+    let cluster = Cluster::start(deployment, ENDPOINTS, folder, Policy::default()).await?;
     println!(
         "{}: {} entries in {} data centres, {ENDPOINTS} endpoints",
         deployment.name,
--- a/crates/celerywinch_keeper/src/proposer.rs
+++ b/crates/celerywinch_keeper/src/proposer.rs
@@ -13,7 +13,7 @@
 use crate::{Answer, ProposalId, StoreMsg};
 
 /// How long an answer is waited for before another keeper is tried.
-const ATTEMPT: Duration = Duration::from_millis(400);
+const ATTEMPT: Duration = Duration::from_millis(150);
 /// The longest pause before a keeper is asked again that knew no leader.
 const PAUSE_MS: u64 = 60;
 /// How long a change is tried in all.
--- a/crates/celerywinchd/tests/catalogue.rs
+++ b/crates/celerywinchd/tests/catalogue.rs
@@ -65,11 +65,16 @@
         let first = world.edit(leader, "change-a", 1, "team-a").await?;
         assert_eq!(first.status, 200, "{first:?}");
         world.processes[leader].kill();
+        let began = Instant::now();
         let other = (leader + 1) % 3;
         let again = world.edit(other, "change-a", 1, "team-a").await?;
         assert_eq!(again, first);
         let next = world.edit(4, "change-b", 2, "team-b").await?;
         assert_eq!(next.status, 200, "{next:?}");
+        println!(
+            "a change was accepted {:?} after the leader was killed",
+            began.elapsed()
+        );
         world.processes[leader].spawn()?;
         world.in_force(&[0, 1, 2, 3, 4], 3, 8000).await?;
         world.check().await
