Incarnations grow though the clock is set back; a test of raised starts

Cause: an incarnation was the wall clock at the start; set back, the others would ignore the process as an earlier life of itself. Change: the last number is kept in the data folder.

--- a/crates/celerywinch_claims/tests/votes.rs
+++ b/crates/celerywinch_claims/tests/votes.rs
@@ -139,6 +139,31 @@
     assert_eq!(promise.is_ok(), votes, "{promise:?}");
 }
 
+/// Two entries start the same tasks: a replica's clock is set back while it restarts, so that keys
+/// it voted on in its earlier life look new. A peer's heartbeat tells the right time.
+#[test]
+fn clock_set_back_during_a_restart_is_noticed_by_a_peers_clock() {
+    let set_back = WallMs(START.0 - 60_000);
+    let mut replica = Replica::new(LIMITS, set_back);
+    replica.raise_start(START);
+    let old = key(START.0 - 1_000);
+    assert_eq!(
+        replica.vote(set_back, &old, 7, holder(1, 1)),
+        Some(Grant::TooNew)
+    );
+    assert_eq!(
+        replica.vote(START, &old, 7, holder(1, 1)),
+        None,
+        "it abstains"
+    );
+    let fresh = key(START.0 + 1_000);
+    let later = WallMs(START.0 + 1_000);
+    assert_eq!(
+        replica.vote(later, &fresh, 7, holder(1, 1)),
+        Some(Grant::Granted)
+    );
+}
+
 /// A caller is told "not run" of a key that ran: all replicas have forgotten it, and one that is
 /// asked for a promise makes an empty record that looks as if nobody ever voted.
 #[test]
--- a/crates/celerywinch_node/src/lib.rs
+++ b/crates/celerywinch_node/src/lib.rs
@@ -9,6 +9,7 @@
 mod core;
 mod filters;
 mod http;
+mod incarnation;
 mod links;
 mod metrics;
 mod node;
--- a/crates/celerywinch_node/src/node.rs
+++ b/crates/celerywinch_node/src/node.rs
@@ -13,7 +13,7 @@
 use celerywinch_dispatch::Policy;
 use celerywinch_entry::{ConfigBuilder, Entry, Input};
 use celerywinch_settings::{Settings, load_catalogue};
-use celerywinch_types::{Incarnation, InstanceId, Process};
+use celerywinch_types::{InstanceId, Process};
 use ntex::rt::Arbiter;
 use ntex::server::Server;
 use ntex::time::Seconds;
@@ -28,7 +28,7 @@
 use crate::shared::{Bound, CoreMsg, Shared};
 use crate::store::{self, StoreIn, StoreOptions};
 use crate::timeline::Timeline;
-use crate::{Clock, http};
+use crate::{Clock, http, incarnation};
 
 /// The resolution of the times in keys.
 const KEY_RESOLUTION: Duration = Duration::from_millis(2);
@@ -65,7 +65,7 @@
         let clock = Arc::new(Clock::default());
         let me = Process {
             instance: settings.me.id,
-            incarnation: Incarnation(Clock::wall().0),
+            incarnation: incarnation::next(settings.data_folder.as_deref(), Clock::wall())?,
         };
         let timeline = Timeline::open(clock.clone(), me, settings.timeline_file.as_deref())?;
         let metrics = Metrics::new().context("metrics: cannot be set up")?;
