A peer's clock a little ahead no longer keeps a replica from voting

Cause: found by reading. Every heartbeat of a peer whose clock is more than 100 ms ahead moved the time up to which a replica without records abstains to that clock plus the skew: no key was ever new enough, and since it never voted, it never had a record. An entry alone with such peers would have told everything as undecided, for ever. Change: a clock that is ahead counts the start as that much later, once and for all.

--- a/crates/celerywinch_claims/src/replica.rs
+++ b/crates/celerywinch_claims/src/replica.rs
@@ -67,6 +67,7 @@
 #[derive(Debug)]
 pub struct Replica {
     limits: Limits,
+    start: WallMs,
     /// Keys born up to here may have been voted on in an earlier life.
     blank_until: WallMs,
     records: HashMap<Key, Record>,
@@ -85,20 +86,18 @@
     pub fn new(limits: Limits, wall: WallMs) -> Self {
         Self {
             limits,
+            start: wall,
             blank_until: WallMs(wall.0.saturating_add(millis(limits.skew))),
             records: HashMap::new(),
             expiry: BTreeSet::new(),
         }
     }
 
-    /// Takes the clock of a peer into account when the own clock may have gone back.
-    ///
-    /// A clock set back during the restart would make forgotten keys look new.
-    pub fn raise_start(&mut self, wall: WallMs) {
-        if self.records.is_empty() {
-            let until = WallMs(wall.0.saturating_add(millis(self.limits.skew)));
-            self.blank_until = self.blank_until.max(until);
-        }
+    /// A peer's clock is ahead by `ahead`: the own one may have been set back during the restart,
+    /// and forgotten keys would look new. Counts the start as that much later.
+    pub fn raise_start(&mut self, ahead: Duration) {
+        let until = self.start.0 + millis(ahead) + millis(self.limits.skew);
+        self.blank_until = self.blank_until.max(WallMs(until));
     }
 
     /// How many keys are remembered.
--- a/crates/celerywinch_claims/tests/votes.rs
+++ b/crates/celerywinch_claims/tests/votes.rs
@@ -145,7 +145,7 @@
 fn clock_set_back_during_a_restart_is_noticed_by_a_peers_clock() {
     let set_back = WallMs(START.0 - 60_000);
     let mut replica = Replica::new(LIMITS, set_back);
-    replica.raise_start(START);
+    replica.raise_start(Duration::from_secs(60));
     let old = key(START.0 - 1_000);
     assert_eq!(
         replica.vote(set_back, &old, 7, holder(1, 1)),
@@ -164,6 +164,21 @@
     );
 }
 
+/// An entry tells everything as undecided for ever: a peer's clock is a little ahead, each of its
+/// heartbeats moves the time up to which the replica abstains, and no key is ever new enough.
+#[test]
+fn peers_clock_ahead_does_not_keep_a_replica_from_voting() {
+    let mut replica = Replica::new(LIMITS, START);
+    let ahead = Duration::from_millis(150);
+    for millis in (0..2_000).step_by(200) {
+        replica.raise_start(ahead);
+        let wall = WallMs(START.0 + millis);
+        let vote = replica.vote(wall, &key(wall.0), 7, holder(1, 1));
+        let wanted = (millis > 400).then_some(Grant::Granted);
+        assert_eq!(vote, wanted, "{millis} ms after the start");
+    }
+}
+
 /// A caller is told "not run" of a key that ran: all replicas have forgotten it, and one that is
 /// asked for a promise makes an empty record that looks as if nobody ever voted.
 #[test]
--- a/crates/celerywinch_entry/src/members.rs
+++ b/crates/celerywinch_entry/src/members.rs
@@ -148,7 +148,7 @@
         let behind = Duration::from_millis(peer.0.saturating_sub(own.0));
         if behind > CLOCK_SET_BACK {
             for replica in self.replicas.values_mut() {
-                replica.raise_start(peer);
+                replica.raise_start(behind);
             }
         }
     }
