An entry that lent its slots admits its own work and asks for them back

(a) every_caller_gets_its_own_answer was refused as overloaded at an idle entry: lent slots were taken off what admission counts, so an entry that had lent all it has counted as having one, and nothing asked for them back before their lease of 5 s. Change: admission counts the share, lent or not; when tasks wait, loans are recalled.

--- a/crates/celerywinch_dispatch/src/dispatch.rs
+++ b/crates/celerywinch_dispatch/src/dispatch.rs
@@ -293,7 +293,9 @@
         let mut in_flight = 0;
         for id in ids {
             let endpoint = &self.endpoints[*id];
-            let own = endpoint.own();
+            // Lent slots come back as soon as tasks wait. Without them an entry that had lent all it
+            // has would refuse its own callers as if it had a single slot.
+            let own = endpoint.share + endpoint.borrowed;
             slots += usize::from(endpoint.health.allowance(now, own));
             all_slots += usize::from(endpoint.note.slots);
             in_flight += usize::from(endpoint.in_flight);
--- a/crates/celerywinch_entry/src/slots.rs
+++ b/crates/celerywinch_entry/src/slots.rs
@@ -13,11 +13,16 @@
 impl Entry {
     /// Gives back what is not needed, and asks a peer with nothing in its queue for slots.
     pub(crate) fn trade_slots(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.return_slots(now, out);
+        self.borrow_slots(now, out);
+    }
+
+    /// Gives back what is over or of no use.
+    fn return_slots(&mut self, now: Time, out: &mut Vec<Output>) {
         for (peer, loan) in self.dispatch.tick(now) {
             let msg = PeerMsg::Slot(SlotMsg::Return { loan });
             out.push(Output::Send(peer, msg));
         }
-        self.borrow_slots(now, out);
     }
 
     /// Asks the other entries of the data centre for slots as soon as tasks wait.
@@ -30,6 +35,10 @@
             return;
         }
         self.borrowed = now;
+        for (peer, loan) in self.dispatch.recalls() {
+            let msg = PeerMsg::Slot(SlotMsg::Recall { loan });
+            out.push(Output::Send(peer, msg));
+        }
         let lenders: Vec<_> = self.peers.local().map(|(id, _)| id).collect();
         for lender in lenders {
             for (kind, count) in self.dispatch.demand() {
@@ -62,9 +71,14 @@
                     slots,
                     until: now + lease,
                     used: now,
+                    recalled: false,
                 };
                 self.dispatch.borrow(now, loan);
             }
+            SlotMsg::Recall { loan } => {
+                self.dispatch.recalled(now, from, loan);
+                self.return_slots(now, out);
+            }
             SlotMsg::Return { loan } => self.dispatch.returned(from, loan),
         }
     }
