--- a/crates/celerywinch_dispatch/src/dispatch.rs
+++ b/crates/celerywinch_dispatch/src/dispatch.rs
@@ -293,8 +293,8 @@
         let mut in_flight = 0;
         for id in ids {
             let endpoint = &self.endpoints[*id];
-            // Lent slots come back as soon as tasks wait. Without them an entry that had lent all it
-            // has would refuse its own callers as if it had a single slot.
+            // Lent slots come back when the borrower has no more use for them. If they did not count,
+            // an entry that has lent all would refuse its own callers as if it had a single slot.
             let own = endpoint.share + endpoint.borrowed;
             slots += usize::from(endpoint.health.allowance(now, own));
             all_slots += usize::from(endpoint.note.slots);
--- a/crates/celerywinch_dispatch/src/loans.rs
+++ b/crates/celerywinch_dispatch/src/loans.rs
@@ -32,8 +32,6 @@
     pub until: Time,
     /// When it was last of use, at the borrower.
     pub used: Time,
-    /// Whether the lender has asked for it back.
-    pub recalled: bool,
 }
 
 impl Dispatch {
@@ -74,7 +72,6 @@
             slots: slots.clone(),
             until: now + LEASE,
             used: now,
-            recalled: false,
         };
         self.lent.insert(id, loan);
         Some((id, slots))
@@ -95,27 +92,6 @@
         });
     }
 
-    /// Loans that are to come back, for tasks wait here; each is asked for once.
-    pub fn recalls(&mut self) -> Vec<(InstanceId, u64)> {
-        let open = self.lent.values_mut().filter(|loan| !loan.recalled);
-        open.map(|loan| {
-            loan.recalled = true;
-            (loan.peer, loan.id)
-        })
-        .collect()
-    }
-
-    /// The lender wants a loan back: nothing more is started on it, and it is returned at once.
-    ///
-    /// A task that is still under way there may make the endpoint refuse one of the lender's, which
-    /// is sent elsewhere; to wait for its end would leave the lender without its own slots.
-    pub fn recalled(&mut self, now: Time, peer: InstanceId, id: u64) {
-        let mut loans = self.borrowed.iter_mut();
-        if let Some(loan) = loans.find(|loan| loan.peer == peer && loan.id == id) {
-            loan.until = now;
-        }
-    }
-
     /// A loan came back.
     pub fn returned(&mut self, peer: InstanceId, id: u64) {
         if self.lent.get(&id).is_some_and(|loan| loan.peer == peer)
--- a/crates/celerywinch_entry/src/slots.rs
+++ b/crates/celerywinch_entry/src/slots.rs
@@ -35,10 +35,6 @@
             return;
         }
         self.borrowed = now;
-        for (peer, loan) in self.dispatch.recalls() {
-            let msg = PeerMsg::Slot(SlotMsg::Recall { loan });
-            out.push(Output::Send(peer, msg));
-        }
         let lenders: Vec<_> = self.peers.local().map(|(id, _)| id).collect();
         for lender in lenders {
             for (kind, count) in self.dispatch.demand() {
@@ -71,14 +67,9 @@
                     slots,
                     until: now + lease,
                     used: now,
-                    recalled: false,
                 };
                 self.dispatch.borrow(now, loan);
             }
-            SlotMsg::Recall { loan } => {
-                self.dispatch.recalled(now, from, loan);
-                self.return_slots(now, out);
-            }
             SlotMsg::Return { loan } => self.dispatch.returned(from, loan),
         }
     }
--- a/crates/celerywinch_types/src/message.rs
+++ b/crates/celerywinch_types/src/message.rs
@@ -229,11 +229,6 @@
             /// Names the loan.
             loan: u64,
         },
-        /// Asks for a loan back: the lender has work for its slots.
-        Recall {
-            /// Names the loan.
-            loan: u64,
-        },
         /// Gives a loan back.
         Return {
             /// Names the loan.
