A replica learns a decision by its ballot, and abstains on keys that are too new

Cause: found by reading the change as the caller whose money moves. (a) A replica that had accepted the holder's outcome at ballot 1, and missed a settled one at ballot 2, took the news that the key is decided for its own outcome: two callers could be told different outcomes. (b) Promises and acceptances had no bound on keys from the future, so a replica could forget one for a key that looks new to its next life. Ruled out: votes, which have both bounds already. Change: the news carries the ballot; an acceptance counts from that ballot on. Unknown keys that are too new are abstained on.

--- a/crates/celerywinch_claims/src/replica.rs
+++ b/crates/celerywinch_claims/src/replica.rs
@@ -114,14 +114,17 @@
 
     /// Whether the replica must not take part in agreement on `key`.
     ///
-    /// It does not if the key may have been voted on in an earlier life, and not if a record of
+    /// It does not if the key may have been voted on in an earlier life, nor if it is so new that a
+    /// later life could not tell that it took part ([`Replica::new`]), and not if a record of
     /// the key may have expired: an empty record would let the key be settled as not run.
     #[must_use]
     pub fn abstains(&self, wall: WallMs, key: &Key) -> bool {
         if self.records.contains_key(key) {
             return false;
         }
-        key.born() <= self.blank_until || self.limits.too_old(key, wall)
+        key.born() <= self.blank_until
+            || self.limits.too_old(key, wall)
+            || self.limits.too_new(key, wall)
     }
 
     /// Gives the vote on `key` to the first holder that asks; `None` is an abstention.
@@ -194,10 +197,14 @@
         Ok(())
     }
 
-    /// Notes that the outcome this replica accepted is the decided one.
-    pub fn learn(&mut self, key: &Key) {
+    /// Notes that the outcome of this ballot is decided.
+    ///
+    /// A replica that accepted an earlier ballot, and missed this one, has another outcome and must
+    /// not take that for the decided one; later ballots can only have the same.
+    pub fn learn(&mut self, key: &Key, ballot: Ballot) {
         if let Some(record) = self.records.get_mut(key) {
-            record.decided = record.accepted.is_some();
+            let accepted = record.accepted.as_ref();
+            record.decided |= accepted.is_some_and(|(at, _)| *at >= ballot);
         }
     }
 
--- a/crates/celerywinch_claims/tests/votes.rs
+++ b/crates/celerywinch_claims/tests/votes.rs
@@ -83,7 +83,7 @@
     replica
         .accept(LATER, key, 7, ballot, &failure())
         .expect("a first ballot");
-    replica.learn(key);
+    replica.learn(key, ballot);
 }
 
 #[rstest]
@@ -179,6 +179,37 @@
     }
 }
 
+/// Two callers are told different outcomes: a replica accepts the holder's outcome, misses the one
+/// that others settled with a higher ballot, and then hears that the key is decided.
+#[test]
+fn replica_that_missed_the_decided_ballot_does_not_tell_its_own() {
+    let mut replica = Replica::new(LIMITS, START);
+    let key = key(1_009_000);
+    let ballot = |round| Ballot {
+        round,
+        proposer: holder(2, 9).process,
+    };
+    let accepted = replica.accept(LATER, &key, 7, ballot(1), &failure());
+    accepted.expect("a first ballot");
+    replica.learn(&key, ballot(2));
+    assert_eq!(replica.decided(&key), None);
+    replica.learn(&key, ballot(1));
+    assert!(replica.decided(&key).is_some());
+}
+
+/// A restarted replica forgets a promise that it can not tell it gave: the key was born further in
+/// the future than its clock allows for, and looks new to its next life.
+#[test]
+fn key_that_is_too_new_is_not_promised() {
+    let mut replica = Replica::new(LIMITS, START);
+    let ballot = Ballot {
+        round: 2,
+        proposer: holder(3, 1).process,
+    };
+    assert!(replica.prepare(LATER, &key(LATER.0 + 251), ballot).is_err());
+    assert!(replica.prepare(LATER, &key(LATER.0 + 250), ballot).is_ok());
+}
+
 /// A caller is told "not run" of a key that ran: all replicas have forgotten it, and one that is
 /// asked for a promise makes an empty record that looks as if nobody ever voted.
 #[test]
--- a/crates/celerywinch_entry/src/claims.rs
+++ b/crates/celerywinch_entry/src/claims.rs
@@ -38,10 +38,10 @@
         self.replicas.get_mut(&home)
     }
 
-    fn learn(&mut self, keys: &[Key]) {
-        for key in keys {
+    fn learn(&mut self, keys: &[(Key, Ballot)]) {
+        for (key, ballot) in keys {
             if let Some(replica) = self.replica(key) {
-                replica.learn(key);
+                replica.learn(key, *ballot);
             }
         }
     }
@@ -313,10 +313,13 @@
         let (key, group) = (claim.key().clone(), claim.group().clone());
         let digest = claim.digest();
         for member in group.members() {
-            self.decided.entry(*member).or_default().push(key.clone());
+            self.decided
+                .entry(*member)
+                .or_default()
+                .push((key.clone(), ballot));
         }
         if let Some(replica) = self.replica(&key) {
-            replica.learn(&key);
+            replica.learn(&key, ballot);
         }
         self.conflict_if_other(id, digest, out);
         self.conclude(id, &outcome, out);
--- a/crates/celerywinch_entry/src/entry.rs
+++ b/crates/celerywinch_entry/src/entry.rs
@@ -9,7 +9,7 @@
 use celerywinch_dispatch::{Dispatch, JobId};
 use celerywinch_members::{Endpoints, Peers};
 use celerywinch_types::{
-    DataCentreId, InstanceId, Key, MemberMsg, Outcome, PeerMsg, Time, TimerQueue, WallMs,
+    Ballot, DataCentreId, InstanceId, Key, MemberMsg, Outcome, PeerMsg, Time, TimerQueue, WallMs,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -82,7 +82,7 @@
     pub(crate) calls: HashMap<CallId, OpenCall>,
     pub(crate) next_call: u64,
     pub(crate) timers: TimerQueue<Timer>,
-    pub(crate) decided: BTreeMap<InstanceId, Vec<Key>>,
+    pub(crate) decided: BTreeMap<InstanceId, Vec<(Key, Ballot)>>,
     pub(crate) stopping: bool,
     pub(crate) beats: u64,
     pub(crate) renewed: Time,
--- a/crates/celerywinch_types/src/message.rs
+++ b/crates/celerywinch_types/src/message.rs
@@ -84,7 +84,7 @@
             key: Key,
         },
         /// Tells replicas which outcomes are decided, so that each can answer alone.
-        Decided(Vec<Key>),
+        Decided(Vec<(Key, Ballot)>),
         /// Any reply.
         Reply(ClaimReply),
     }
