An idle data centre is kept while its workers answer

Cause: a dispatcher keeps a data centre whose processes are all silent only if one of its workers answered within 1 s, and it calls no idle worker. Ruled out: a longer time for workers (it only delays it); looking at idle workers always (each look is a priced message, and nobody needs it while processes are heard). Change: the member names the domains whose processes are all silent; the pool asks one idle worker of each, the one heard last, if none answered for 400 ms, and another where it is silent too.

--- a/crates/celerywinch_domains/src/domains.rs
+++ b/crates/celerywinch_domains/src/domains.rs
@@ -252,6 +252,15 @@
         dc == self.me.dc || peers.all().any(|(_, view)| there(view))
     }
 
+    /// The domains held here of whose data centres no process is heard: whether they are kept is
+    /// up to their workers, that is to `reached`.
+    #[must_use]
+    pub fn unheard(&self, now: Time, peers: &Peers) -> Vec<Domain> {
+        let held = self.held.keys().copied();
+        held.filter(|domain| !self.hears(now, domain.dc, peers))
+            .collect()
+    }
+
     /// Whether a data centre may be taken: it is heard, or it is time for a trial.
     fn may_take(&mut self, now: Time, dc: DataCentreId) -> bool {
         if let Some(since) = self.heard.get(&dc) {
--- a/crates/celerywinch_member/src/member.rs
+++ b/crates/celerywinch_member/src/member.rs
@@ -339,6 +339,11 @@
             return;
         }
         self.compared = now;
+        // Idle workers are not called. Without asking them, a data centre whose processes are all
+        // silent would be given up as soon as there is nothing to do, and tried again and again.
+        for domain in self.domains.unheard(now, &self.peers) {
+            self.pool_input(now, PoolInput::Ask(domain), out);
+        }
         let mut changes = Vec::new();
         self.divide(now, &mut changes, out);
         let held = self.domains.held().keys().copied();
--- a/crates/celerywinch_member/tests/idle.rs
+++ b/crates/celerywinch_member/tests/idle.rs
@@ -31,11 +31,11 @@
     }
 }
 
-fn worker() -> WorkerNote {
+fn worker(index: u16) -> WorkerNote {
     WorkerNote {
-        id: "w".to_owned(),
+        id: format!("w{index}"),
         service: "s".to_owned(),
-        addr: ([127, 0, 0, 1], 9).into(),
+        addr: ([127, 0, 0, 1], index).into(),
         dc: FAR,
         room: Room::default(),
         labels: Vec::new(),
@@ -44,11 +44,10 @@
     }
 }
 
-/// Callers wait for a change of hands that nobody needs: all processes of a data centre are silent, its
-/// workers answer, but there is no work, so none is called, and after 1 s the dispatcher takes the
-/// data centre for cut off. It gives it up, tries it again 3 s later, and so on.
-#[test]
-fn idle_data_centre_is_kept_while_its_workers_answer() {
+/// A member far from a data centre that it dispatches for, and that data centre's workers. All
+/// processes there fall silent after 1.5 s, and with them the first `dead` of its workers. The answer is
+/// how often the dispatcher gave the data centre up in the 5 s of the run.
+fn times_given_up(dead: u16, workers: u16) -> usize {
     let config = MemberConfig {
         me: process(1),
         part: Part::Entry,
@@ -59,11 +58,13 @@
     };
     let mut now = Time(1_000_000);
     let mut member = Member::new(config, now, WallMs(1_700_000_000_000));
-    let mut inputs = vec![Input::Version(1), Input::Workers(vec![worker()])];
+    let notes = (0..workers).map(worker).collect();
+    let mut inputs = vec![Input::Version(1), Input::Workers(notes)];
     let mut given_up = 0;
     for step in 0..500 {
         now = now + Duration::from_millis(10);
-        if step < 150 {
+        let cut = step >= 150;
+        if !cut {
             inputs.push(Input::Beat(process(3), beat(1)));
         }
         inputs.push(Input::Beat(process(2), beat(0)));
@@ -79,7 +80,9 @@
                             running: Vec::new(),
                             ended: Vec::new(),
                         };
-                        inputs.push(Input::Answered(call.key, lists));
+                        let lost = cut && (0..dead).any(|index| call.worker == format!("w{index}"));
+                        let answer = if lost { Answer::Silent } else { lists };
+                        inputs.push(Input::Answered(call.key, answer));
                     }
                     Output::Dispatch(Note::Resigned { .. }) => given_up += 1,
                     _ => {}
@@ -87,5 +90,27 @@
             }
         }
     }
-    assert_eq!(given_up, 0);
+    given_up
+}
+
+/// Callers wait for a change of hands that nobody needs: all processes of a data centre are silent, its
+/// workers answer, but there is no work, so none is called, and after 1 s the dispatcher takes the
+/// data centre for cut off. It gives it up, tries it again 3 s later, and so on.
+#[test]
+fn idle_data_centre_is_kept_while_its_workers_answer() {
+    assert_eq!(times_given_up(0, 1), 0);
+}
+
+/// The same where some of its workers died with the processes: one of the others is found before the
+/// second is over, whichever is asked first.
+#[test]
+fn idle_data_centre_is_kept_while_some_of_its_workers_answer() {
+    assert_eq!(times_given_up(3, 5), 0);
+}
+
+/// A data centre that is cut off as a whole is given up, so that its own entries dispatch there without
+/// being outbid.
+#[test]
+fn data_centre_is_given_up_when_nothing_there_answers() {
+    assert!(times_given_up(5, 5) >= 1);
 }
--- a/crates/celerywinch_pool/src/config.rs
+++ b/crates/celerywinch_pool/src/config.rs
@@ -24,6 +24,10 @@
     pub order: Duration,
     /// How long ends wait for being acknowledged to a worker that has nothing else to do.
     pub tidy: Duration,
+    /// A domain whose workers said nothing for this long has one of them asked, when its
+    /// dispatcher needs to know whether they can be reached. Several can be asked one after the
+    /// other, each for the time of an order, before a second is over and the domain given up.
+    pub quiet: Duration,
     /// Between two attempts to reach a worker that does not answer.
     pub retry: Duration,
     /// How long runs found at a takeover wait for their origin before they are stopped. Origins
@@ -48,6 +52,7 @@
             answer: Duration::from_millis(80),
             order: Duration::from_millis(80),
             tidy: Duration::from_millis(400),
+            quiet: Duration::from_millis(400),
             retry: Duration::from_millis(250),
             adopt: Duration::from_millis(150),
             limbo: Duration::from_millis(1_100),
--- a/crates/celerywinch_pool/src/leases.rs
+++ b/crates/celerywinch_pool/src/leases.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use celerywinch_types::{Time, WorkerClock};
+use celerywinch_types::{Domain, Time, WorkerClock};
 
 use crate::Note;
 use crate::call::{LookKind, Order, Pending};
@@ -90,6 +90,26 @@
         }
     }
 
+    /// Asks one worker of a domain for a sign of life: the one that was heard last. One after the other
+    /// where they do not answer, until the domain counts as out of reach.
+    pub(crate) fn ask(&mut self, now: Time, domain: Domain, out: &mut Vec<Output>) {
+        if self.reaches(now, domain, self.config.quiet) {
+            return;
+        }
+        let there = self.workers.iter().filter(|(_, w)| w.domain == domain);
+        let mut held = there.filter(|(_, w)| w.grip == Grip::Held);
+        if held.clone().any(|(_, w)| w.look.is_some()) {
+            return;
+        }
+        // Those that have missed a call are looked at again by themselves.
+        let sound = held.by_ref().filter(|(_, w)| w.silent == 0);
+        let Some((key, _)) = sound.max_by_key(|(_, w)| w.heard) else {
+            return;
+        };
+        self.workers[key].look_at = now;
+        self.look(now, key, out);
+    }
+
     /// The lease of a silent worker is over: nothing runs there any more.
     fn lapse(&mut self, _now: Time, key: WorkerKey, out: &mut Vec<Output>) {
         for run in self.workers[key].runs.clone() {
--- a/crates/celerywinch_pool/src/pool.rs
+++ b/crates/celerywinch_pool/src/pool.rs
@@ -34,6 +34,9 @@
     OriginLost(InstanceId),
     /// What came of a call.
     Answered(CallKey, Answer),
+    /// Whether any worker of a domain that is held can be reached: one that has nothing to do is
+    /// asked, unless one has answered lately.
+    Ask(Domain),
     /// Time passed.
     Tick,
 }
@@ -179,6 +182,7 @@
             Input::Work(from, msg) => self.work(now, from, msg, out),
             Input::OriginLost(origin) => self.drop_origin(now, origin, out),
             Input::Answered(key, answer) => self.answered(now, key, answer, out),
+            Input::Ask(domain) => self.ask(now, domain, out),
             Input::Tick => self.tick(now, out),
         }
         self.drop_empty();
