--- a/crates/celerywinch_standin/src/relay.rs
+++ b/crates/celerywinch_standin/src/relay.rs
@@ -1,4 +1,4 @@
-//! A TCP relay between two processes that can cut, stall and delay what passes.
+//! A TCP relay between two processes that can cut, stall, reset and delay what passes.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -7,7 +7,9 @@
 
 use anyhow::Context;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 
 /// Which way bytes go, seen from the side that opened the connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,6 +31,8 @@
     silent_before: AtomicU64,
     generation: AtomicU64,
     delay_us: AtomicU64,
+    /// Changes when all open connections are reset.
+    resets: watch::Sender<u64>,
 }
 
 /// A relay to one target.
@@ -45,8 +49,17 @@
     ///
     /// No port is free.
     pub async fn start(target: SocketAddr) -> anyhow::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await;
-        let listener = listener.context("relay: no port")?;
+        Self::bind(SocketAddr::from(([127, 0, 0, 1], 0)), target).await
+    }
+
+    /// Starts a relay to `target` at an address; called within a runtime.
+    ///
+    /// # Errors
+    ///
+    /// The address is taken.
+    pub async fn bind(addr: SocketAddr, target: SocketAddr) -> anyhow::Result<Self> {
+        let listener = TcpListener::bind(addr).await;
+        let listener = listener.with_context(|| format!("relay: cannot listen at {addr}"))?;
         let addr = listener.local_addr()?;
         let control = Arc::new(Control::default());
         ntex::rt::spawn(accept(listener, target, control.clone()));
@@ -81,6 +94,11 @@
             .store(generation + 1, Ordering::Release);
     }
 
+    /// Resets the open connections at both ends; new ones work.
+    pub fn reset_open(&self) {
+        self.control.resets.send_modify(|count| *count += 1);
+    }
+
     /// Delays every piece by `span`.
     pub fn delay(&self, span: Duration) {
         let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
@@ -90,43 +108,56 @@
 
 async fn accept(listener: TcpListener, target: SocketAddr, control: Arc<Control>) {
     while let Ok((socket, _)) = listener.accept().await {
-        let control = control.clone();
-        ntex::rt::spawn(async move {
-            // A partition gives no refusal: the connection hangs until it heals.
-            while control.cut.load(Ordering::Acquire) {
-                tokio::time::sleep(Duration::from_millis(20)).await;
-            }
-            let generation = control.generation.fetch_add(1, Ordering::AcqRel) + 1;
-            let Ok(out) = TcpStream::connect(target).await else {
-                return;
-            };
-            let _ = socket.set_nodelay(true);
-            let _ = out.set_nodelay(true);
-            let (from_opener, to_opener) = socket.into_split();
-            let (from_target, to_target) = out.into_split();
-            let back = control.clone();
-            ntex::rt::spawn(pass(
-                from_opener,
-                to_target,
-                control,
-                Direction::Forward,
-                generation,
-            ));
-            ntex::rt::spawn(pass(
-                from_target,
-                to_opener,
-                back,
-                Direction::Backward,
-                generation,
-            ));
-        });
+        ntex::rt::spawn(relay(socket, target, control.clone()));
+    }
+}
+
+/// Passes what comes both ways until both ends have closed, or a reset.
+async fn relay(mut socket: TcpStream, target: SocketAddr, control: Arc<Control>) {
+    let mut resets = control.resets.subscribe();
+    // A partition gives no refusal: the connection hangs until it heals.
+    while control.cut.load(Ordering::Acquire) {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let generation = control.generation.fetch_add(1, Ordering::AcqRel) + 1;
+    let Ok(mut out) = TcpStream::connect(target).await else {
+        return;
+    };
+    let _ = socket.set_nodelay(true);
+    let _ = out.set_nodelay(true);
+    let reset = {
+        let (from_opener, to_opener) = socket.split();
+        let (from_target, to_target) = out.split();
+        let forward = pass(
+            from_opener,
+            to_target,
+            &control,
+            Direction::Forward,
+            generation,
+        );
+        let backward = pass(
+            from_target,
+            to_opener,
+            &control,
+            Direction::Backward,
+            generation,
+        );
+        tokio::select! {
+            _ = async { tokio::join!(forward, backward) } => false,
+            changed = resets.changed() => changed.is_ok(),
+        }
+    };
+    if reset {
+        // Closing sends a reset then, and what was not delivered is lost.
+        let _ = socket.set_zero_linger();
+        let _ = out.set_zero_linger();
     }
 }
 
 async fn pass(
-    mut from: tokio::net::tcp::OwnedReadHalf,
-    mut to: tokio::net::tcp::OwnedWriteHalf,
-    control: Arc<Control>,
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
+    control: &Control,
     direction: Direction,
     generation: u64,
 ) {
@@ -152,7 +183,7 @@
 }
 
 /// Goes on reading, so that the sender notices nothing.
-async fn silent(from: &mut tokio::net::tcp::OwnedReadHalf, buffer: &mut [u8]) {
+async fn silent(from: &mut ReadHalf<'_>, buffer: &mut [u8]) {
     while from.read(buffer).await.is_ok_and(|count| count > 0) {}
 }
 
