Tasks that find no room go to the next dispatcher; news of earlier hand-ins do not count

Cause: 350 workers are divided among 16 dispatchers of 22 workers. An origin chose one by room that was told up to 100 ms before, while most tasks take less; what found no room waited or was refused there, with workers free elsewhere. Change: while others are believed to have room, a dispatcher starts what fits and gives the rest back; after three the next keeps them. Tests of the load in members_divided.rs. Mended: each hand-in has a number, news of earlier ones do not count, and a dispatcher that had no room says so again. The same race stood with work that was given back in a change of hands. Tests in hand_in.rs and runs.rs.

--- a/crates/celerywinch/src/commands/soak.rs
+++ b/crates/celerywinch/src/commands/soak.rs
@@ -25,6 +25,8 @@
 const MEMBERS_LOAD: u64 = 15_000;
 /// Ms between two faults in a run of members: the first seeds get few, the later ones many.
 const MEMBERS_FAULTS: [u64; 4] = [900, 500, 300, 150];
+/// The most workers of a dispatcher, of 48: one for all, or several that hand on what finds no room.
+const MEMBERS_SHARDS: [usize; 3] = [80, 8, 16];
 
 /// Events of a run where none are asked for.
 const STEPS: u64 = 200_000;
@@ -119,15 +121,18 @@
             dcs: 3,
             entries: 7,
             workers: 48,
+            shard: MEMBERS_SHARDS[(seed % MEMBERS_SHARDS.len() as u64) as usize],
             length: MEMBERS_LOAD,
             load: members::LoadPlan {
                 classes: members::brief_classes(),
+                cpu: members::BRIEF_CPU,
                 burst: None,
             },
             faults: Some(members::FaultPlan {
                 every,
                 members: true,
                 workers: true,
+                clocks: seed % 5 >= 3,
             }),
             follow: follow.map(JobId),
         });
--- a/crates/celerywinch_bench/src/members/callers.rs
+++ b/crates/celerywinch_bench/src/members/callers.rs
@@ -16,8 +16,6 @@
 const TARGET: u32 = 60;
 /// A caller without an answer sends its job again after this time.
 const RESEND: Duration = Duration::from_millis(1_300);
-/// Thousandths of a core of a task, on average: two or three fit on a worker.
-const CPU: f64 = 14_000.0;
 /// How far tasks of one job differ, and jobs of one kind, and guesses from the truth.
 const UNEVEN: f64 = 0.15;
 const SPREAD: f64 = 0.4;
@@ -72,7 +70,7 @@
         let step = StepPlan {
             count: width,
             need: Room {
-                cpu: (CPU * self.around(0.2)) as u32,
+                cpu: (f64::from(self.options.load.cpu) * self.around(0.2)) as u32,
                 memory: 64,
                 accelerators: 0,
             },
@@ -118,6 +116,7 @@
             return;
         };
         let life = self.members[entry].life();
+        let first_run = self.first_run(entry);
         let job = &mut self.jobs[index];
         job.tries += 1;
         job.sent = self.now;
@@ -128,7 +127,7 @@
             id: job.id,
             queue: queue(class),
             plan: job.plan.clone(),
-            first_run: RunNumber(self.now.0),
+            first_run,
         };
         let caller = CallerId(index as u64 * 1_000 + u64::from(job.tries));
         self.input(entry, Input::Submit(caller, new));
@@ -137,6 +136,14 @@
         self.at(self.now + limit, Event::GiveUp(index, tries));
     }
 
+    /// Above all that were used for a job that was sent before, unless clocks are wrong.
+    fn first_run(&self, entry: usize) -> RunNumber {
+        match self.options.faults {
+            Some(plan) if plan.clocks => RunNumber(self.wall(entry)),
+            _ => RunNumber(self.now.0),
+        }
+    }
+
     pub(crate) fn answer(&mut self, caller: CallerId, end: JobEnd) {
         let index = (caller.0 / 1_000) as usize;
         let now = self.now;
--- a/crates/celerywinch_bench/src/members/faults.rs
+++ b/crates/celerywinch_bench/src/members/faults.rs
@@ -15,6 +15,8 @@
     pub every: u64,
     /// Whether members are killed, stopped as planned and frozen, and data centres are cut off.
     pub members: bool,
+    /// Whether the wall clocks of members are wrong, each life of one by another time.
+    pub clocks: bool,
     /// Whether workers crash, hang, slow down and fail, and their calls are lost or carried out late.
     pub workers: bool,
 }
--- a/crates/celerywinch_bench/src/members/load.rs
+++ b/crates/celerywinch_bench/src/members/load.rs
@@ -24,6 +24,9 @@
 pub struct LoadPlan {
     /// The kinds of jobs.
     pub classes: Vec<ClassPlan>,
+    /// What a task needs on average, in thousandths of a core; workers have 32,000, every third one
+    /// half as much again.
+    pub cpu: u32,
     /// From when to when, in ms, the load is that many times as high.
     pub burst: Option<(u64, u64, f64)>,
 }
@@ -48,6 +51,9 @@
     ]
 }
 
+/// What a task needs on average in the brief's catalogue service: two or three fit on a worker.
+pub const BRIEF_CPU: u32 = 14_000;
+
 impl LoadPlan {
     /// How many times the usual load there is at a moment.
     pub(crate) fn factor(&self, now: Time) -> f64 {
--- a/crates/celerywinch_bench/src/members/mod.rs
+++ b/crates/celerywinch_bench/src/members/mod.rs
@@ -10,5 +10,5 @@
 
 pub use faults::FaultPlan;
 pub use history::{Violation, overlaps};
-pub use load::{ClassFigures, ClassPlan, LoadPlan, brief_classes};
+pub use load::{BRIEF_CPU, ClassFigures, ClassPlan, LoadPlan, brief_classes};
 pub use world::{MembersOptions, MembersReport, run};
--- a/crates/celerywinch_bench/src/members/world.rs
+++ b/crates/celerywinch_bench/src/members/world.rs
@@ -8,7 +8,7 @@
 use celerywinch_standin::{LeasedWorker, Ran};
 use celerywinch_types::{
     Beat, DataCentreId, FleetMsg, Incarnation, InstanceId, JobEnd, JobId, Part, Process, Room,
-    TaskId, Time, TimerQueue, WallMs,
+    TaskId, Time, TimerQueue, WallMs, score,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -30,6 +30,10 @@
 const GRACE: Duration = Duration::from_millis(1_500);
 /// How long the world goes on after the load, until all must be at rest.
 const REST: Duration = Duration::from_secs(8);
+/// When a run begins, in ms since 1970, and how far wall clocks are wrong at most where they are; by
+/// the users' page they jump by seconds.
+const EPOCH_MS: u64 = 1_700_000_000_000;
+const SKEW_MS: u64 = 5_000;
 /// What a worker has; every third one has half as much again.
 const WORKER_CPU: u32 = 32_000;
 
@@ -44,6 +48,8 @@
     pub entries: u32,
     /// Workers, spread over them.
     pub workers: u32,
+    /// The most workers that one dispatcher takes.
+    pub shard: usize,
     /// How long there is load, in ms.
     pub length: u64,
     /// The load.
@@ -340,6 +346,17 @@
         Some(open[pick])
     }
 
+    /// What a member's wall clock shows, in ms since 1970.
+    pub(crate) fn wall(&self, index: usize) -> u64 {
+        let right = EPOCH_MS + self.now.0 / 1_000;
+        if self.options.faults.is_none_or(|plan| !plan.clocks) {
+            return right;
+        }
+        let life = self.members[index].life;
+        let drawn = score(self.options.seed, (index as u64) << 32 | life);
+        right + drawn % (2 * SKEW_MS) - SKEW_MS
+    }
+
     fn start(&mut self, index: usize) {
         let host = &mut self.members[index];
         host.life += 1;
@@ -354,12 +371,12 @@
             part: Part::Entry,
             dc: DataCentreId(host.dc),
             dcs: (0..self.options.dcs).map(DataCentreId).collect(),
-            shard: 80,
+            shard: self.options.shard,
             pool: PoolConfig::default(),
         };
-        let wall = WallMs(1_700_000_000_000 + self.now.0 / 1_000);
-        host.member = Some(Member::new(config, self.now, wall));
         let life = host.life;
+        let wall = WallMs(self.wall(index));
+        self.members[index].member = Some(Member::new(config, self.now, wall));
         self.at(self.now + TICK, Event::Tick(index, life));
         self.input(index, Input::Version(1));
         for worker in 0..self.workers.len() {
--- a/crates/celerywinch_bench/tests/members.rs
+++ b/crates/celerywinch_bench/tests/members.rs
@@ -1,7 +1,7 @@
 //! Members and workers in simulated time: histories under faults, and service under load.
 
 use celerywinch_bench::members::{
-    FaultPlan, LoadPlan, MembersOptions, MembersReport, Violation, brief_classes, run,
+    BRIEF_CPU, FaultPlan, LoadPlan, MembersOptions, MembersReport, Violation, brief_classes, run,
 };
 use rstest::rstest;
 
@@ -11,9 +11,11 @@
         dcs: 3,
         entries: 7,
         workers: 48,
+        shard: 80,
         length,
         load: LoadPlan {
             classes: brief_classes(),
+            cpu: BRIEF_CPU,
             burst: None,
         },
         faults: None,
@@ -40,11 +42,11 @@
 /// lose calls and carry orders out late. No task may have two runs at once, an answer of
 /// completion or refusal must be true, and every caller at a living entry gets one.
 #[rstest]
-#[case::members(FaultPlan { every: 700, members: true, workers: false }, 1)]
-#[case::members_again(FaultPlan { every: 500, members: true, workers: false }, 2)]
-#[case::workers(FaultPlan { every: 150, members: false, workers: true }, 3)]
-#[case::both(FaultPlan { every: 300, members: true, workers: true }, 4)]
-#[case::both_again(FaultPlan { every: 400, members: true, workers: true }, 5)]
+#[case::members(FaultPlan { every: 700, members: true, workers: false, clocks: false }, 1)]
+#[case::members_again(FaultPlan { every: 500, members: true, workers: false, clocks: false }, 2)]
+#[case::workers(FaultPlan { every: 150, members: false, workers: true, clocks: false }, 3)]
+#[case::both(FaultPlan { every: 300, members: true, workers: true, clocks: false }, 4)]
+#[case::both_again(FaultPlan { every: 400, members: true, workers: true, clocks: false }, 5)]
 fn history_holds(#[case] faults: FaultPlan, #[case] seed: u64) {
     let mut options = options(seed, 15_000);
     options.faults = Some(faults);
@@ -69,6 +71,7 @@
         every,
         members: true,
         workers: true,
+        clocks: false,
     });
     assert_eq!(run(options).violations, Vec::<Violation>::new());
 }
--- /dev/null
+++ b/crates/celerywinch_bench/tests/members_divided.rs
@@ -0,0 +1,55 @@
+//! A deployment so large that its workers are divided among many dispatchers, in simulated time.
+
+use celerywinch_bench::members::{
+    ClassFigures, ClassPlan, LoadPlan, MembersOptions, Violation, brief_classes, run,
+};
+use rstest::rstest;
+
+/// The brief's catalogue service after it has grown: 350 workers, seven times as many as today, and 28
+/// entries, each so small that 16 dispatchers have 22 workers each. Six times today's jobs come, of
+/// tasks that need half of a usual worker: 80% of the workers are busy.
+fn options(seed: u64, length: u64) -> MembersOptions {
+    let grown = |class: ClassPlan| ClassPlan {
+        rate: class.rate * 6.0,
+        ..class
+    };
+    MembersOptions {
+        seed,
+        dcs: 3,
+        entries: 28,
+        workers: 350,
+        shard: 32,
+        length,
+        load: LoadPlan {
+            classes: brief_classes().into_iter().map(grown).collect(),
+            cpu: 16_000,
+            burst: None,
+        },
+        faults: None,
+        follow: None,
+    }
+}
+
+/// The share of jobs that end within their objectives, in thousandths.
+fn in_aim(classes: &[ClassFigures]) -> usize {
+    let asked: usize = classes.iter().map(|class| class.asked).sum();
+    let in_aim: usize = classes.iter().map(|class| class.in_aim).sum();
+    in_aim * 1_000 / asked
+}
+
+/// Callers are refused, or wait, though there is room at other dispatchers: the one that was asked is
+/// full, and what its origin knew of its room was as old as most tasks are long. With one queue over
+/// all workers (`shard: 1000`) 1000, 1000 and 980 of 1000 jobs are served in aim; without handing on what finds no
+/// room it was 991, 932 and 813.
+#[rstest]
+#[case::ordinary(1.0, 998)]
+#[case::burst_that_fits(1.4, 975)]
+#[case::burst_of_the_users_days(1.8, 915)]
+fn tasks_find_room_at_other_dispatchers(#[case] factor: f64, #[case] wanted: usize) {
+    let mut options = options(1, 9_000);
+    options.load.burst = Some((4_000, 8_000, factor));
+    let report = run(options);
+    assert_eq!(report.violations, Vec::<Violation>::new());
+    let share = in_aim(&report.classes);
+    assert!(share >= wanted, "{share} of 1000: {:?}", report.classes);
+}
--- a/crates/celerywinch_fleet/src/metrics.rs
+++ b/crates/celerywinch_fleet/src/metrics.rs
@@ -59,6 +59,7 @@
             Note::WorkerAside { .. } => self.aside.inc(),
             Note::Acquired { .. } | Note::Resigned { .. } => self.changes.inc(),
             Note::Queued { .. }
+            | Note::Passed { .. }
             | Note::Started { .. }
             | Note::WorkerSilent { .. }
             | Note::WorkerHeld { .. }
--- a/crates/celerywinch_member/tests/origins.rs
+++ b/crates/celerywinch_member/tests/origins.rs
@@ -52,11 +52,14 @@
         target: 60,
         chain: 200,
         fresh: false,
+        pass: false,
         tasks: vec![TaskOrder {
             index: 0,
             failures: 0,
             run: RunNumber(1),
             doubt: Doubt::None,
+            hand: 1,
+            first: 1,
         }],
     }
 }
--- a/crates/celerywinch_origin/src/choice.rs
+++ b/crates/celerywinch_origin/src/choice.rs
@@ -7,6 +7,9 @@
 /// Another dispatcher must be this much faster to be chosen when all are full: two messages between
 /// data centres, and the load that others choose it for at the same moment, in ms.
 const ELSEWHERE_MS: u32 = 15;
+/// So many dispatchers may give tasks of a job back for want of room; the next one keeps them. Each
+/// costs up to two messages between data centres (3 ms), and its processor time.
+const MOST_FULL: usize = 3;
 
 /// The dispatcher of a domain.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -19,6 +22,30 @@
     pub load: Load,
 }
 
+/// What is to be handed in.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Wanted<'a> {
+    /// The origin's data centre.
+    pub(crate) dc: DataCentreId,
+    /// The job.
+    pub(crate) job: JobId,
+    /// 0 comes first.
+    pub(crate) priority: u8,
+    /// How many tasks.
+    pub(crate) tasks: u32,
+    /// Dispatchers that had no room for them.
+    pub(crate) full: &'a [InstanceId],
+}
+
+/// To whom it is handed in.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Choice {
+    /// The dispatcher.
+    pub(crate) holder: Holder,
+    /// Whether it gives back what finds no room.
+    pub(crate) pass: bool,
+}
+
 /// A dispatcher with all of its domains.
 #[derive(Clone, Copy, Debug)]
 struct Candidate {
@@ -32,23 +59,35 @@
 ///
 /// Of several, two are drawn by the job's number and the better of them is taken: all origins know
 /// the same figures, and would all turn to the best one until the next heartbeat.
-pub(crate) fn choose(
-    holders: &[Holder],
-    own: DataCentreId,
-    job: JobId,
-    priority: u8,
-    tasks: u32,
-) -> Option<Holder> {
-    let all = candidates(holders, own);
-    let roomy = all.iter().filter(|c| c.free >= tasks);
-    let roomy = two(roomy.copied().collect(), job);
-    if let Some(best) = roomy.iter().max_by_key(|c| (c.free, c.near)) {
-        return Some(best.holder);
+///
+/// Where there are several dispatchers, what is known of their room is older than most tasks are
+/// long. So the first ones that are tried give back what they cannot start at once: a job is
+/// refused, or waits, only after several had no room for it.
+pub(crate) fn choose(holders: &[Holder], wanted: &Wanted) -> Option<Choice> {
+    let all = candidates(holders, wanted.dc);
+    let alone = all.len() == 1;
+    let untried = |c: &&Candidate| !wanted.full.contains(&c.holder.instance);
+    let roomy = all.iter().filter(|c| c.free > 0).filter(untried);
+    let roomy = two(roomy.copied().collect(), wanted);
+    let most = roomy
+        .iter()
+        .max_by_key(|c| (c.free.min(wanted.tasks), c.near, c.free));
+    if let Some(best) = most
+        && (wanted.full.len() < MOST_FULL || alone)
+    {
+        return Some(Choice {
+            holder: best.holder,
+            pass: !alone,
+        });
     }
-    let class = usize::from(priority).min(2);
+    let class = usize::from(wanted.priority).min(2);
     let wait = |c: &&Candidate| c.holder.load.wait[class] + if c.near { 0 } else { ELSEWHERE_MS };
-    let drawn = two(all, job);
-    drawn.iter().min_by_key(wait).map(|c| c.holder)
+    let drawn = two(all, wanted);
+    let first = drawn.iter().min_by_key(wait)?;
+    Some(Choice {
+        holder: first.holder,
+        pass: false,
+    })
 }
 
 fn candidates(holders: &[Holder], own: DataCentreId) -> Vec<Candidate> {
@@ -65,8 +104,8 @@
     all.into_values().collect()
 }
 
-fn two(mut candidates: Vec<Candidate>, job: JobId) -> Vec<Candidate> {
-    candidates.sort_by_key(|c| score(job.0, u64::from(c.holder.instance.0)));
+fn two(mut candidates: Vec<Candidate>, wanted: &Wanted) -> Vec<Candidate> {
+    candidates.sort_by_key(|c| score(wanted.job.0, u64::from(c.holder.instance.0)));
     candidates.truncate(2);
     candidates
 }
--- a/crates/celerywinch_origin/src/job.rs
+++ b/crates/celerywinch_origin/src/job.rs
@@ -39,6 +39,24 @@
     pub(crate) place: Place,
     pub(crate) failures: u32,
     pub(crate) run: RunNumber,
+    /// How often it was handed in.
+    pub(crate) hand: u32,
+    /// The first of those times at the dispatcher that has it.
+    pub(crate) first: u32,
+}
+
+impl Task {
+    /// What a dispatcher is told of it.
+    pub(crate) fn order(&self, index: u16, doubt: Doubt) -> TaskOrder {
+        TaskOrder {
+            index,
+            failures: self.failures,
+            run: self.run,
+            doubt,
+            hand: self.hand,
+            first: self.first,
+        }
+    }
 }
 
 /// A job.
@@ -50,8 +68,10 @@
     pub(crate) plan: JobPlan,
     pub(crate) arrived: Time,
     pub(crate) tasks: BTreeMap<(u16, u16), Task>,
-    /// Whether anything was handed to a dispatcher.
-    pub(crate) begun: bool,
+    /// Whether a task came back that may have run.
+    pub(crate) doubtful: bool,
+    /// Dispatchers that had no room for its tasks.
+    pub(crate) full: Vec<InstanceId>,
 }
 
 impl Job {
@@ -70,6 +90,8 @@
                     place: Place::Todo,
                     failures: 0,
                     run: first_run,
+                    hand: 0,
+                    first: 0,
                 };
                 tasks.insert((number, index), task);
             }
@@ -81,7 +103,8 @@
             plan,
             arrived: now,
             tasks,
-            begun: false,
+            doubtful: false,
+            full: Vec::new(),
         }
     }
 
@@ -94,6 +117,11 @@
         self.tasks.values().all(|task| task.place == Place::Done)
     }
 
+    /// Whether anything of it may have run. What a dispatcher gave back for want of room has not.
+    pub(crate) fn begun(&self) -> bool {
+        self.doubtful || self.tasks.values().any(|task| task.place != Place::Todo)
+    }
+
     /// Steps whose turn has come and which have tasks to hand in.
     pub(crate) fn open_steps(&self) -> Vec<u16> {
         let open = |step: &u16| {
@@ -138,7 +166,8 @@
             slack: self.queue.slack,
             target: self.queue.target,
             chain: self.chain(),
-            fresh: !self.begun,
+            fresh: false,
+            pass: false,
             tasks,
         }
     }
--- a/crates/celerywinch_origin/src/origin.rs
+++ b/crates/celerywinch_origin/src/origin.rs
@@ -6,10 +6,10 @@
 
 use celerywinch_types::{
     DataCentreId, Domain, Doubt, InstanceId, JobEnd, JobId, JobPlan, Queue, RunNumber, TaskEnd,
-    TaskId, TaskOrder, Time, WorkMsg, domain, identifier,
+    TaskNews, Time, WorkMsg, domain, identifier,
 };
 
-use crate::choice::choose;
+use crate::choice::{Choice, Wanted, choose};
 use crate::job::{Job, Place, Trace};
 use crate::{Holder, JobNote};
 
@@ -212,9 +212,9 @@
 
     fn work(&mut self, now: Time, from: InstanceId, msg: WorkMsg, out: &mut Vec<Output>) {
         match msg {
-            WorkMsg::Ended(ends) => {
-                for (task, end) in ends {
-                    self.ended(now, from, task, end, out);
+            WorkMsg::Ended(news) => {
+                for news in news {
+                    self.ended(now, from, news, out);
                 }
             }
             WorkMsg::Resync => self.hand_in_again(now, from, out),
@@ -223,14 +223,12 @@
         }
     }
 
-    fn ended(
-        &mut self,
-        now: Time,
-        from: InstanceId,
-        id: TaskId,
-        end: TaskEnd,
-        out: &mut Vec<Output>,
-    ) {
+    fn ended(&mut self, now: Time, from: InstanceId, news: TaskNews, out: &mut Vec<Output>) {
+        let TaskNews {
+            task: id,
+            hand,
+            end,
+        } = news;
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return;
         };
@@ -240,7 +238,7 @@
         let Place::Out(at, trace) = task.place.clone() else {
             return;
         };
-        if at != from {
+        if at != from || (news.gives_back() && hand != task.hand) {
             return;
         }
         match end {
@@ -251,13 +249,23 @@
             }
             TaskEnd::Failed => self.answer(now, id.job, JobEnd::Failed, out),
             TaskEnd::Refused(later) => self.answer(now, id.job, JobEnd::Refused(later), out),
+            TaskEnd::Full => {
+                task.place = Place::Todo;
+                if !job.full.contains(&from) {
+                    job.full.push(from);
+                }
+                self.open.insert(id.job);
+                self.believe_full(from);
+            }
             TaskEnd::Returned { at, failures, run } => {
+                job.doubtful = true;
                 task.failures = failures;
                 task.run = task.run.max(run);
                 task.place = at.map_or(Place::Todo, |at| Place::Unsure(last_run(now, at)));
                 self.wait_for_holder(id.job, from);
             }
             TaskEnd::Doubtful => {
+                job.doubtful = true;
                 // What was handed in without doubt was handed in again, as messages may be lost.
                 let lost = Trace {
                     domains: self.held.get(&from).cloned().unwrap_or_default(),
@@ -270,6 +278,14 @@
         }
     }
 
+    /// Until the next heartbeat tells.
+    fn believe_full(&mut self, dispatcher: InstanceId) {
+        let holders = self.holders.iter_mut();
+        for holder in holders.filter(|holder| holder.instance == dispatcher) {
+            holder.load.free = 0;
+        }
+    }
+
     /// A dispatcher gave work back: it holds its data centre no more, and the next heartbeat tells
     /// who does. Until then work would go back and forth.
     fn wait_for_holder(&mut self, job: JobId, from: InstanceId) {
@@ -286,7 +302,7 @@
     /// What a dispatcher has is named to it again, for messages either way may be lost. It takes
     /// only what it does not know.
     fn hand_in_again(&mut self, now: Time, peer: InstanceId, out: &mut Vec<Output>) {
-        for job in self.jobs.values() {
+        for job in self.jobs.values_mut() {
             let mut steps: Vec<u16> = Vec::new();
             for ((step, _), task) in &job.tasks {
                 if matches!(task.place, Place::Out(at, _) if at == peer) && !steps.contains(step) {
@@ -294,18 +310,15 @@
                 }
             }
             for step in steps {
-                let tasks = job.tasks.range((step, 0)..=(step, u16::MAX));
+                let tasks = job.tasks.range_mut((step, 0)..=(step, u16::MAX));
                 let here =
                     tasks.filter(|(_, t)| matches!(t.place, Place::Out(at, _) if at == peer));
-                let orders = here.map(|((_, index), task)| TaskOrder {
-                    index: *index,
-                    failures: task.failures,
-                    run: task.run,
-                    doubt: Doubt::Open,
+                let orders = here.map(|((_, index), task)| {
+                    task.hand += 1;
+                    task.order(*index, Doubt::Open)
                 });
                 let orders = orders.collect();
-                let mut order = job.order(now, step, orders);
-                order.fresh = false;
+                let order = job.order(now, step, orders);
                 out.push(Output::Send(peer, WorkMsg::Submit(order)));
             }
         }
@@ -330,6 +343,7 @@
                 }
             }
             if lost {
+                job.doubtful = true;
                 self.open.insert(job.id);
                 let note = JobNote::DispatcherLost {
                     job: job.id,
@@ -343,7 +357,7 @@
     /// Dispatchers have dropped what a process had that stood still; its callers may have gone to
     /// other entries with the same jobs.
     fn give_up_all(&mut self, now: Time, out: &mut Vec<Output>) {
-        let jobs = self.jobs.values().map(|job| (job.id, job.begun));
+        let jobs = self.jobs.values().map(|job| (job.id, job.begun()));
         for (id, begun) in jobs.collect::<Vec<_>>() {
             let end = if begun {
                 JobEnd::Unsure
@@ -368,7 +382,7 @@
                 continue;
             };
             let age = now.since(job.arrived);
-            if !job.begun && age >= NO_DISPATCHER {
+            if !job.begun() && age >= NO_DISPATCHER {
                 self.answer(now, id, JobEnd::Refused(COME_BACK_MS), out);
             } else if age >= OLDEST || given_up {
                 self.answer(now, id, JobEnd::Unsure, out);
@@ -409,7 +423,11 @@
             let finds =
                 |trace: &Trace| !trace.domains.is_empty() && trace.domains.is_subset(&reach);
             let here = |place: &Place| matches!(place, Place::Unsure(trace) if finds(trace));
-            self.send_tasks(now, id, step, holder, here, out);
+            let choice = Choice {
+                holder,
+                pass: false,
+            };
+            self.send_tasks(now, id, step, choice, here, out);
         }
         let job = &self.jobs[&id];
         let tasks = job.tasks.range((step, 0)..=(step, u16::MAX));
@@ -424,9 +442,16 @@
             return left;
         }
         let count = u32::try_from(todo).unwrap_or(u32::MAX);
-        match choose(&self.holders, self.dc, id, job.queue.priority, count) {
-            Some(holder) => {
-                self.send_tasks(now, id, step, holder, |place| *place == Place::Todo, out);
+        let wanted = Wanted {
+            dc: self.dc,
+            job: id,
+            priority: job.queue.priority,
+            tasks: count,
+            full: &job.full,
+        };
+        match choose(&self.holders, &wanted) {
+            Some(choice) => {
+                self.send_tasks(now, id, step, choice, |place| *place == Place::Todo, out);
             }
             None => left = true,
         }
@@ -452,13 +477,15 @@
         now: Time,
         id: JobId,
         step: u16,
-        holder: Holder,
+        choice: Choice,
         wanted: impl Fn(&Place) -> bool,
         out: &mut Vec<Output>,
     ) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
+        let holder = choice.holder;
+        let fresh = !job.begun();
         let mut orders = Vec::new();
         for ((_, index), task) in job.tasks.range_mut((step, 0)..=(step, u16::MAX)) {
             if wanted(&task.place) {
@@ -466,12 +493,10 @@
                     Place::Unsure(trace) => Some(trace.clone()),
                     Place::Todo | Place::Out(..) | Place::Done => None,
                 };
-                orders.push(TaskOrder {
-                    index: *index,
-                    failures: task.failures,
-                    run: task.run,
-                    doubt: trace.as_ref().map_or(Doubt::None, |trace| trace.doubt),
-                });
+                task.hand += 1;
+                task.first = task.hand;
+                let doubt = trace.as_ref().map_or(Doubt::None, |trace| trace.doubt);
+                orders.push(task.order(*index, doubt));
                 task.place = Place::Out(holder.instance, trace);
             }
         }
@@ -490,8 +515,9 @@
                 .count(),
             free: holder.load.free,
         }));
-        let order = job.order(now, step, orders);
-        job.begun = true;
+        let mut order = job.order(now, step, orders);
+        order.fresh = fresh;
+        order.pass = choice.pass;
         out.push(Output::Send(holder.instance, WorkMsg::Submit(order)));
         // Until the next heartbeat tells, the room is believed to be taken.
         let mut taken = u32::try_from(count).unwrap_or(u32::MAX);
--- /dev/null
+++ b/crates/celerywinch_origin/tests/hand_in.rs
@@ -0,0 +1,179 @@
+//! Handing tasks in at several dispatchers.
+
+use std::time::Duration;
+
+use celerywinch_origin::{CallerId, Holder, Input, NewJob, Origin, Output};
+use celerywinch_types::{
+    DataCentreId, Domain, Doubt, InstanceId, JobEnd, JobId, JobPlan, Load, Queue, Room, RunNumber,
+    StepOrder, StepPlan, TaskEnd, TaskId, TaskNews, Time, WorkMsg,
+};
+use rstest::rstest;
+
+const DC: DataCentreId = DataCentreId(0);
+const JOB: JobId = JobId(77);
+const CALLER: CallerId = CallerId(5);
+
+fn holder(instance: u32, free: u32) -> Holder {
+    Holder {
+        domain: Domain {
+            dc: DC,
+            shard: instance as u8,
+        },
+        instance: InstanceId(instance),
+        load: Load { free, wait: [0; 3] },
+    }
+}
+
+fn job(tasks: u16) -> NewJob {
+    NewJob {
+        id: JOB,
+        queue: Queue {
+            name: "q".to_owned(),
+            host: "h".to_owned(),
+            prefix: "/q/".to_owned(),
+            service: "s".to_owned(),
+            priority: 0,
+            attempts: 3,
+            slack: 1_600,
+            target: 60,
+            timeout: 1_500,
+            advised: false,
+        },
+        plan: JobPlan {
+            spec: String::new(),
+            steps: vec![StepPlan {
+                count: tasks,
+                need: Room::default(),
+                estimate: 200,
+                after: Vec::new(),
+                label: None,
+                rack: None,
+                spread: None,
+            }],
+        },
+        first_run: RunNumber(1_000),
+    }
+}
+
+/// An origin and what it has said.
+struct Rig {
+    origin: Origin,
+    now: Time,
+    sent: Vec<(InstanceId, StepOrder)>,
+    answers: Vec<JobEnd>,
+}
+
+impl Rig {
+    /// With a job of so many tasks, and dispatchers that have this much room each.
+    fn new(tasks: u16, rooms: &[u32]) -> Self {
+        let mut rig = Self {
+            origin: Origin::new(DC),
+            now: Time(1_000_000),
+            sent: Vec::new(),
+            answers: Vec::new(),
+        };
+        let holders = (1..).zip(rooms);
+        let holders = holders.map(|(instance, free)| holder(instance, *free));
+        rig.take(Input::Holders(holders.collect()));
+        rig.take(Input::Submit(CALLER, job(tasks)));
+        rig
+    }
+
+    fn take(&mut self, input: Input) {
+        let mut out = Vec::new();
+        self.now = self.now + Duration::from_millis(1);
+        self.origin.handle(self.now, input, &mut out);
+        for output in out {
+            match output {
+                Output::Send(to, WorkMsg::Submit(order)) => self.sent.push((to, order)),
+                Output::Answer(_, end) => self.answers.push(end),
+                Output::Send(..) | Output::Note(_) => {}
+            }
+        }
+    }
+
+    fn last(&self) -> (InstanceId, StepOrder) {
+        self.sent.last().expect("an order").clone()
+    }
+
+    /// A dispatcher tells the same of these tasks.
+    fn tell(&mut self, from: InstanceId, order: &StepOrder, indices: &[u16], end: TaskEnd) {
+        let tasks = order.tasks.iter();
+        let tasks = tasks.filter(|task| indices.contains(&task.index));
+        let news = tasks.map(|task| TaskNews {
+            task: TaskId {
+                job: JOB,
+                step: 0,
+                index: task.index,
+            },
+            hand: task.hand,
+            end,
+        });
+        let news = news.collect();
+        self.take(Input::Work(from, WorkMsg::Ended(news)));
+    }
+}
+
+/// A task runs twice, at two dispatchers: the first one has no room and gives it back; the link to
+/// it is reset before that message arrives, so the task is named to it again; then the message
+/// arrives, and the task goes to the second one, while the first one has it again.
+#[rstest]
+#[case::full(TaskEnd::Full)]
+#[case::returned(TaskEnd::Returned { at: None, failures: 0, run: RunNumber(1_000) })]
+#[case::doubtful(TaskEnd::Doubtful)]
+fn what_was_given_back_before_it_was_named_again_stays(#[case] end: TaskEnd) {
+    let mut rig = Rig::new(1, &[5, 5]);
+    let (first, order) = rig.last();
+    rig.take(Input::LinkReset(first));
+    let (again, named) = rig.last();
+    assert_eq!((again, named.tasks[0].doubt), (first, Doubt::Open));
+    let sent = rig.sent.len();
+    rig.tell(first, &order, &[0], end);
+    assert_eq!(rig.sent.len(), sent, "{:?}", rig.last());
+    // What answers the last naming counts.
+    rig.tell(first, &named, &[0], TaskEnd::Full);
+    let (other, order) = rig.last();
+    assert_ne!(other, first);
+    assert_eq!(order.tasks[0].doubt, Doubt::None);
+}
+
+/// A caller is refused though there is room: the dispatcher that its job went to had some when it
+/// last told, and has none. What it gives back goes to the next, and the last one that is tried may
+/// refuse it, as nothing of it has run.
+#[test]
+fn tasks_without_room_go_from_one_dispatcher_to_the_next() {
+    let mut rig = Rig::new(2, &[5, 5, 5, 5, 5]);
+    let mut tried = Vec::new();
+    for _ in 0..3 {
+        let (to, order) = rig.last();
+        assert!(order.pass && order.fresh, "{order:?}");
+        assert!(!tried.contains(&to));
+        tried.push(to);
+        rig.tell(to, &order, &[0, 1], TaskEnd::Full);
+    }
+    let (to, order) = rig.last();
+    assert!(!order.pass && order.fresh, "{order:?}");
+    rig.tell(to, &order, &[0], TaskEnd::Refused(100));
+    assert_eq!(rig.answers, [JobEnd::Refused(100)]);
+}
+
+/// A refusal that says "not run" would be false: one task of the job runs at the first dispatcher, and
+/// the other went on from there. No later one may refuse the job.
+#[test]
+fn job_of_which_a_task_runs_cannot_be_refused() {
+    let mut rig = Rig::new(2, &[5, 5]);
+    let (to, order) = rig.last();
+    rig.tell(to, &order, &[1], TaskEnd::Full);
+    let (other, order) = rig.last();
+    assert_ne!(other, to);
+    assert!(!order.fresh, "{order:?}");
+    let indices: Vec<u16> = order.tasks.iter().map(|task| task.index).collect();
+    assert_eq!(indices, [1]);
+}
+
+/// With one dispatcher there is nobody to hand on to: it keeps what finds no room.
+#[test]
+fn only_dispatcher_keeps_what_has_no_room() {
+    let rig = Rig::new(2, &[5]);
+    assert!(!rig.last().1.pass);
+}
--- a/crates/celerywinch_pool/src/admission.rs
+++ b/crates/celerywinch_pool/src/admission.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use celerywinch_types::{Domain, Load, TaskEnd, Time};
+use celerywinch_types::{Domain, Load, TaskEnd, TaskNews, Time};
 
 use crate::Note;
 use crate::job::{Batch, BatchKey, TaskState};
@@ -74,8 +74,8 @@
         }
         let rank = Queue::rank(BatchKey::default(), batch);
         let coming = self.inflow.above(now, batch.order.priority);
-        let each = f64::from(batch.order.need.cpu) * batch.expected.as_secs_f64() * 1e3;
-        let wait = self.wait_ms(now, self.queue.ahead(rank), each * tasks as f64, coming);
+        let own = batch.work_of(tasks);
+        let wait = self.wait_ms(now, self.queue.ahead(rank), own, coming);
         if fits(now, batch, wait) {
             out.push(Output::Note(Note::Queued {
                 job: batch.order.job,
@@ -97,12 +97,14 @@
             expected: batch.expected.as_millis() as u32,
             left: batch.due.since(now).as_millis() as u32,
         }));
-        let id = batch.id(0);
-        let end = TaskEnd::Refused(later);
-        let ends = vec![(id, end)];
+        let news = TaskNews {
+            task: batch.id(0),
+            hand: 0,
+            end: TaskEnd::Refused(later),
+        };
         out.push(Output::Send(
             batch.origin,
-            celerywinch_types::WorkMsg::Ended(ends),
+            celerywinch_types::WorkMsg::Ended(vec![news]),
         ));
     }
 
--- a/crates/celerywinch_pool/src/job.rs
+++ b/crates/celerywinch_pool/src/job.rs
@@ -34,6 +34,8 @@
     pub(crate) run: RunNumber,
     /// Whether it may be running under an earlier dispatcher.
     pub(crate) doubt: Doubt,
+    /// The last time that it was handed in.
+    pub(crate) hand: u32,
     /// The worker that failed it last.
     pub(crate) avoid: Option<WorkerKey>,
 }
@@ -66,9 +68,14 @@
         tasks.filter(|t| t.state == TaskState::Waiting).count()
     }
 
-    /// Thousandths of a core times ms of what waits.
-    pub(crate) fn work_waiting(&self) -> f64 {
+    /// Thousandths of a core times ms of so many tasks.
+    pub(crate) fn work_of(&self, tasks: usize) -> f64 {
         let each = f64::from(self.order.need.cpu) * self.expected.as_secs_f64() * 1e3;
-        each * self.waiting() as f64
+        each * tasks as f64
+    }
+
+    /// The same of what waits.
+    pub(crate) fn work_waiting(&self) -> f64 {
+        self.work_of(self.waiting())
     }
 }
--- a/crates/celerywinch_pool/src/note.rs
+++ b/crates/celerywinch_pool/src/note.rs
@@ -18,6 +18,19 @@
         /// Ms of work ahead of it on each place.
         wait: u32,
     },
+    /// Tasks found no room, and were given back for another dispatcher to start.
+    Passed {
+        /// The job.
+        job: JobId,
+        /// Its origin.
+        origin: InstanceId,
+        /// How many tasks.
+        tasks: usize,
+        /// How many of those handed in were started.
+        started: usize,
+        /// How many steps of jobs wait here.
+        queued: usize,
+    },
     /// A job was refused: it could not end in time.
     Refused {
         /// The job.
@@ -115,7 +128,10 @@
     #[must_use]
     pub fn is_routine(&self) -> bool {
         match self {
-            Self::Started { .. } | Self::Queued { .. } | Self::WorkerHeld { .. } => true,
+            Self::Started { .. }
+            | Self::Queued { .. }
+            | Self::Passed { .. }
+            | Self::WorkerHeld { .. } => true,
             Self::RunEnded { how, .. } => *how == "done",
             Self::Refused { .. }
             | Self::Moved { .. }
--- a/crates/celerywinch_pool/src/pool.rs
+++ b/crates/celerywinch_pool/src/pool.rs
@@ -5,7 +5,7 @@
 
 use celerywinch_types::{
     Domain, Doubt, Fence, InstanceId, JobId, Learned, RunNumber, StepOrder, TaskEnd, TaskId,
-    TaskOrder, Time, WorkMsg, WorkerNote, WorkerStage,
+    TaskNews, TaskOrder, Time, WorkMsg, WorkerNote, WorkerStage,
 };
 use slotmap::SlotMap;
 
@@ -75,11 +75,13 @@
     pub(crate) times: Times,
     pub(crate) inflow: Inflow,
     pub(crate) takeover: Takeover,
-    /// Ends that origins were told of.
-    told: BTreeMap<TaskId, (Time, TaskEnd)>,
-    news: BTreeMap<InstanceId, Vec<(TaskId, TaskEnd)>>,
+    /// What origins were told of tasks that are here no more.
+    told: BTreeMap<TaskId, (Time, TaskNews)>,
+    news: BTreeMap<InstanceId, Vec<TaskNews>>,
     /// Batches that lost a task during the current input; the empty ones are dropped after it.
     touched: Vec<BatchKey>,
+    /// The batch of the current input, if what finds no room of it is to be given back.
+    passing: Option<BatchKey>,
 }
 
 impl Pool {
@@ -104,6 +106,7 @@
             told: BTreeMap::new(),
             news: BTreeMap::new(),
             touched: Vec::new(),
+            passing: None,
         }
     }
 
@@ -187,6 +190,9 @@
         }
         self.drop_empty();
         self.place(now, out);
+        if let Some(key) = self.passing.take() {
+            self.pass_on(now, key, out);
+        }
         self.tell(out);
     }
 
@@ -267,15 +273,18 @@
             }
             None => {
                 let batch = self.new_batch(now, from, order);
-                if batch.order.fresh && self.refuse_new(now, &batch, tasks.len(), out) {
+                let (fresh, pass) = (batch.order.fresh, batch.order.pass);
+                if fresh && !pass && self.refuse_new(now, &batch, tasks.len(), out) {
                     return;
                 }
-                let each = f64::from(batch.order.need.cpu) * batch.expected.as_secs_f64() * 1e3;
-                let work = each * tasks.len() as f64;
-                self.inflow.add(now, batch.order.priority, work);
+                if !pass {
+                    let work = batch.work_of(tasks.len());
+                    self.inflow.add(now, batch.order.priority, work);
+                }
                 let name = (batch.order.job, batch.order.step);
                 let key = self.batches.insert(batch);
                 self.jobs.insert(name, key);
+                self.passing = pass.then_some(key);
                 key
             }
         };
@@ -287,6 +296,33 @@
         self.touched.push(key);
     }
 
+    /// Gives back what found no room of a batch that came in just now, for another dispatcher to start.
+    fn pass_on(&mut self, now: Time, key: BatchKey, out: &mut Vec<Output>) {
+        let Some(batch) = self.batches.get(key) else {
+            return;
+        };
+        let tasks = batch.tasks.iter();
+        let waiting = tasks.filter(|(_, task)| task.state == TaskState::Waiting);
+        let waiting: Vec<u16> = waiting.map(|(index, _)| *index).collect();
+        let started = batch.tasks.len() - waiting.len();
+        self.inflow
+            .add(now, batch.order.priority, batch.work_of(started));
+        if !waiting.is_empty() {
+            out.push(Output::Note(Note::Passed {
+                job: batch.order.job,
+                origin: batch.origin,
+                tasks: waiting.len(),
+                started,
+                queued: self.queue.len(),
+            }));
+        }
+        self.unqueue(key);
+        for index in waiting {
+            self.finish(now, key, index, TaskEnd::Full);
+        }
+        self.drop_empty();
+    }
+
     /// Nothing is dispatched here. What may be running elsewhere stays with its origin as it was,
     /// until the heartbeat tells who dispatches.
     fn give_back(&mut self, to: InstanceId, order: &StepOrder, tasks: &[TaskOrder]) {
@@ -304,7 +340,12 @@
                 },
                 Doubt::Last | Doubt::Open => TaskEnd::Doubtful,
             };
-            self.news.entry(to).or_default().push((id, end));
+            let news = TaskNews {
+                task: id,
+                hand: task.hand,
+                end,
+            };
+            self.news.entry(to).or_default().push(news);
         }
     }
 
@@ -325,17 +366,20 @@
     }
 
     fn add_task(&mut self, now: Time, key: BatchKey, order: TaskOrder) {
-        let batch = &self.batches[key];
+        let batch = &mut self.batches[key];
         let id = batch.id(order.index);
-        if batch.tasks.contains_key(&order.index) {
+        if let Some(task) = batch.tasks.get_mut(&order.index) {
+            task.hand = order.hand;
             return;
         }
-        if let Some((_, end)) = self.told.get(&id)
-            && order.doubt != Doubt::None
-            && matches!(end, TaskEnd::Done | TaskEnd::Failed)
+        if let Some((_, told)) = self.told.get(&id)
+            && told.settles(&order)
         {
-            let end = *end;
-            self.report(key, id, end);
+            let news = TaskNews {
+                hand: order.hand,
+                ..*told
+            };
+            self.report(key, news);
             return;
         }
         let task = Task {
@@ -343,6 +387,7 @@
             failures: order.failures,
             run: order.run,
             doubt: order.doubt,
+            hand: order.hand,
             avoid: None,
         };
         self.batches[key].tasks.insert(order.index, task);
@@ -421,16 +466,20 @@
             return;
         };
         let id = batch.id(index);
-        batch.tasks.remove(&index);
-        self.told.insert(id, (now, end));
-        self.report(key, id, end);
+        let task = batch.tasks.remove(&index);
+        let news = TaskNews {
+            task: id,
+            hand: task.map_or(0, |task| task.hand),
+            end,
+        };
+        self.told.insert(id, (now, news));
+        self.report(key, news);
         self.touched.push(key);
     }
 
-    fn report(&mut self, key: BatchKey, id: TaskId, end: TaskEnd) {
+    fn report(&mut self, key: BatchKey, news: TaskNews) {
         if let Some(batch) = self.batches.get(key) {
-            let news = self.news.entry(batch.origin).or_default();
-            news.push((id, end));
+            self.news.entry(batch.origin).or_default().push(news);
         }
     }
 
--- a/crates/celerywinch_pool/src/queue.rs
+++ b/crates/celerywinch_pool/src/queue.rs
@@ -53,6 +53,10 @@
         self.ranks.iter().take_while(upto).map(|rank| rank.key)
     }
 
+    pub(crate) fn len(&self) -> usize {
+        self.ranks.len()
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.ranks.is_empty()
     }
--- a/crates/celerywinch_pool/src/takeover.rs
+++ b/crates/celerywinch_pool/src/takeover.rs
@@ -128,7 +128,7 @@
         }
         let open = task.doubt == Doubt::Open;
         match self.takeover.aliens.get(&id).copied() {
-            Some(alien) if !alien.stopped && (open || alien.run >= task.run) => {
+            Some(alien) if !alien.stopped && (open || alien.run == task.run) => {
                 self.takeover.aliens.remove(&id);
                 self.adopt_run(now, key, index, alien);
             }
@@ -149,7 +149,7 @@
         let Some(task) = self.batches[key].tasks.get_mut(&index) else {
             return false;
         };
-        let last = task.doubt == Doubt::Last && run >= task.run;
+        let last = task.doubt == Doubt::Last && run == task.run;
         match how {
             How::Done => self.finish(now, key, index, TaskEnd::Done),
             How::Failed | How::Cut if last => {
--- a/crates/celerywinch_pool/tests/runs.rs
+++ b/crates/celerywinch_pool/tests/runs.rs
@@ -64,11 +64,14 @@
         target: 60,
         chain: 200,
         fresh: doubt == Doubt::None,
+        pass: false,
         tasks: vec![TaskOrder {
             index: 0,
             failures: 0,
             run: RunNumber(run),
             doubt,
+            hand: 1,
+            first: 1,
         }],
     }
 }
@@ -103,7 +106,10 @@
         for output in out {
             match output {
                 Output::Call(call) => self.calls.push(call),
-                Output::Send(_, WorkMsg::Ended(ends)) => self.told.extend(ends),
+                Output::Send(_, WorkMsg::Ended(news)) => {
+                    self.told
+                        .extend(news.iter().map(|news| (news.task, news.end)));
+                }
                 Output::Send(..) | Output::Outbid(_) | Output::Note(_) => {}
             }
         }
@@ -399,3 +405,40 @@
     rig.wait(200);
     assert_eq!(rig.count(is_start), 1);
 }
+
+/// Where a task was since a dispatcher gave it back.
+struct NamedAgain {
+    /// The first time that it was handed in here, for the present stay.
+    first: u32,
+    /// What the origin is told.
+    told: Option<TaskEnd>,
+}
+
+/// A task runs twice, or waits a second for nothing: there was no room for it, the message that says so
+/// is lost with its link, and the task is named to the dispatcher again. If it was here all the while,
+/// the dispatcher says the same again. If another had it meanwhile, it may be running there, and
+/// waits until that must have ended.
+#[rstest]
+#[case::here_all_the_while(NamedAgain { first: 1, told: Some(TaskEnd::Full) })]
+#[case::elsewhere_meanwhile(NamedAgain { first: 3, told: None })]
+fn task_without_room_is_named_again(#[case] case: NamedAgain) {
+    let mut rig = Rig::new(Vec::new(), Vec::new());
+    for job in 1..=2 {
+        let mut order = step(Doubt::None, 10);
+        order.job = JobId(job);
+        rig.submit(order);
+    }
+    let mut order = step(Doubt::None, 10);
+    order.pass = true;
+    rig.submit(order);
+    assert_eq!(rig.told, [(task(0), TaskEnd::Full)]);
+    rig.told.clear();
+    let mut again = step(Doubt::Open, 10);
+    again.tasks[0].first = case.first;
+    again.tasks[0].hand = 4;
+    rig.submit(again);
+    let told = rig.told.first().map(|(_, end)| *end);
+    assert_eq!(told, case.told);
+    let starts = rig.count(|order| matches!(order, Order::Start { task, .. } if task.job == JOB));
+    assert_eq!(starts, 0);
+}
--- a/crates/celerywinch_types/src/fleet.rs
+++ b/crates/celerywinch_types/src/fleet.rs
@@ -92,6 +92,21 @@
         pub run: RunNumber,
         /// Whether it may be running.
         pub doubt: Doubt,
+        /// Counts the times that the task was handed in, to any dispatcher.
+        pub hand: u32,
+        /// The first of those at this dispatcher, since when it should have the task.
+        pub first: u32,
+    }
+
+    /// What became of a task that was handed to a dispatcher.
+    #[derive(Copy)]
+    pub struct TaskNews {
+        /// The task.
+        pub task: TaskId,
+        /// Which of the times that it was handed in.
+        pub hand: u32,
+        /// What became of it.
+        pub end: TaskEnd,
     }
 
     /// Whether a task that is handed in may be running under an earlier dispatcher.
@@ -142,6 +157,9 @@
         pub chain: u32,
         /// Whether the job may still be refused as "not run".
         pub fresh: bool,
+        /// Whether tasks that find no room at once are to be given back, since another dispatcher
+        /// may have some; else they wait here.
+        pub pass: bool,
         /// The tasks.
         pub tasks: Vec<TaskOrder>,
     }
@@ -162,6 +180,8 @@
             /// The highest run number that may have been used for it.
             run: RunNumber,
         },
+        /// Not started: there is no room at present, and another dispatcher was to be tried.
+        Full,
         /// Given back as it came, in doubt: whether it runs was not found out.
         Doubtful,
         /// Will not be served, and nothing of its job has run here; worth a try after so many ms.
@@ -175,7 +195,7 @@
         /// Nothing of the job is wanted any more.
         Cancel(JobId),
         /// Ends of tasks.
-        Ended(Vec<(TaskId, TaskEnd)>),
+        Ended(Vec<TaskNews>),
         /// What was sent before may be lost: hand in again what is open here.
         Resync,
     }
@@ -200,6 +220,31 @@
     }
 }
 
+impl TaskNews {
+    /// Whether what was told answers a task that is handed in again, since the message may be lost.
+    ///
+    /// A result does always. That there was no room does if the task was with this dispatcher all
+    /// the while: it has not been started since. If another had it meanwhile, it may run there.
+    #[must_use]
+    pub fn settles(&self, order: &TaskOrder) -> bool {
+        match self.end {
+            TaskEnd::Done | TaskEnd::Failed => order.doubt != Doubt::None,
+            TaskEnd::Full => self.hand >= order.first,
+            TaskEnd::Returned { .. } | TaskEnd::Doubtful | TaskEnd::Refused(_) => false,
+        }
+    }
+
+    /// Whether it tells that the task goes back to its origin. Such news of an earlier time that it
+    /// was handed in must not count: the dispatcher may have it again.
+    #[must_use]
+    pub fn gives_back(&self) -> bool {
+        match self.end {
+            TaskEnd::Full | TaskEnd::Returned { .. } | TaskEnd::Doubtful => true,
+            TaskEnd::Done | TaskEnd::Failed | TaskEnd::Refused(_) => false,
+        }
+    }
+}
+
 /// The run times of a queue's tasks, as logarithms of ms.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LearnedQueue {
--- a/crates/celerywinch_types/src/lib.rs
+++ b/crates/celerywinch_types/src/lib.rs
@@ -19,7 +19,7 @@
 pub use endpoint::{EndpointNote, EndpointState, KindName};
 pub use fleet::{
     Beat, Contact, Domain, Doubt, FleetMsg, Holding, KeepMsg, Learned, LearnedQueue, Load, Part,
-    Stage, StepOrder, TaskEnd, TaskOrder, WorkMsg,
+    Stage, StepOrder, TaskEnd, TaskNews, TaskOrder, WorkMsg,
 };
 pub use hash::{score, stable_hash};
 pub use id::{DataCentreId, Holder, Incarnation, InstanceId, Process};
