--- a/crates/celerywinch/src/lib.rs
+++ b/crates/celerywinch/src/lib.rs
@@ -1,7 +1,6 @@
 //! The command line for operators, and for trying and measuring.
 
 mod commands;
-mod status;
 
+pub use celerywinch_types::ExitStatus;
 pub use commands::{COMMANDS, Command, run};
-pub use status::ExitStatus;
--- a/crates/celerywinch_origin/src/lib.rs
+++ b/crates/celerywinch_origin/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod choice;
 mod job;
+mod lost;
 mod note;
 mod origin;
 
--- a/crates/celerywinch_origin/src/origin.rs
+++ b/crates/celerywinch_origin/src/origin.rs
@@ -6,21 +6,19 @@
 
 use celerywinch_types::{
     DataCentreId, Domain, Doubt, InstanceId, JobEnd, JobId, JobPlan, Queue, RunNumber, TaskEnd,
-    TaskId, TaskNews, Time, WorkMsg, domain, identifier,
+    TaskNews, Time, WorkMsg, domain, identifier,
 };
 
 use crate::choice::{Choice, Wanted, choose};
 use crate::job::{Job, Place, Trace};
+use crate::lost::SURELY_ENDED;
 use crate::{Holder, JobNote};
 
 /// How long a new job waits for a dispatcher, where none is known. A change of hands takes up to
 /// 500 ms; most objectives are over by then, and the caller is told when to come back.
 const NO_DISPATCHER: Duration = Duration::from_millis(200);
 /// When it is told to come back, in ms: after a change of hands.
-const COME_BACK_MS: u32 = 500;
-/// A task that may run at a lost dispatcher has ended by then: the silence after which the
-/// dispatcher drops its origin, a lease of a second, its clock error, and messages under way.
-const SURELY_ENDED: Duration = Duration::from_millis(1_400);
+pub(crate) const COME_BACK_MS: u32 = 500;
 /// A change of hands takes up to 500 ms.
 const CHANGE_OF_HANDS: Duration = Duration::from_millis(600);
 /// A job that is older is answered as unsure: no caller waits for longer.
@@ -81,18 +79,18 @@
 #[derive(Debug)]
 pub struct Origin {
     dc: DataCentreId,
-    holders: Vec<Holder>,
+    pub(crate) holders: Vec<Holder>,
     /// The domains that a process was last known to dispatch for.
-    held: BTreeMap<InstanceId, Arc<BTreeSet<Domain>>>,
-    jobs: BTreeMap<JobId, Job>,
+    pub(crate) held: BTreeMap<InstanceId, Arc<BTreeSet<Domain>>>,
+    pub(crate) jobs: BTreeMap<JobId, Job>,
     callers: BTreeMap<CallerId, JobId>,
     /// Jobs with tasks to hand in.
-    open: BTreeSet<JobId>,
+    pub(crate) open: BTreeSet<JobId>,
     /// Since when no dispatcher is known.
     alone: Option<Time>,
     /// How often anything was handed in. A job that comes again gets numbers of its own, or what was
     /// told of the first one would be taken for an answer.
-    hands: u32,
+    pub(crate) hands: u32,
 }
 
 impl Origin {
@@ -199,7 +197,7 @@
         Some(job)
     }
 
-    fn answer(&mut self, now: Time, id: JobId, end: JobEnd, out: &mut Vec<Output>) {
+    pub(crate) fn answer(&mut self, now: Time, id: JobId, end: JobEnd, out: &mut Vec<Output>) {
         let Some(job) = self.drop_job(id, out) else {
             return;
         };
@@ -308,94 +306,6 @@
         }
     }
 
-    /// What a dispatcher has is named to it again, for messages either way may be lost. It takes
-    /// only what it does not know.
-    fn hand_in_again(&mut self, now: Time, peer: InstanceId, out: &mut Vec<Output>) {
-        for job in self.jobs.values_mut() {
-            let mut steps: Vec<u16> = Vec::new();
-            for ((step, _), task) in &job.tasks {
-                if matches!(task.place, Place::Out(at, _) if at == peer) && !steps.contains(step) {
-                    steps.push(*step);
-                }
-            }
-            for step in steps {
-                let tasks = job.tasks.range_mut((step, 0)..=(step, u16::MAX));
-                let here =
-                    tasks.filter(|(_, t)| matches!(t.place, Place::Out(at, _) if at == peer));
-                self.hands += 1;
-                let hand = self.hands;
-                let orders = here.map(|((_, index), task)| {
-                    task.hand = hand;
-                    task.order(*index, Doubt::Open)
-                });
-                let orders = orders.collect();
-                let order = job.order(now, step, orders);
-                out.push(Output::Send(peer, WorkMsg::Submit(order)));
-            }
-        }
-    }
-
-    /// Tasks that a dispatcher had when it was last taken for lost.
-    fn unsure_at(&self, dispatcher: InstanceId) -> Vec<TaskId> {
-        let mut found = Vec::new();
-        for job in self.jobs.values() {
-            let there =
-                |place: &Place| matches!(place, Place::Unsure(t) if t.at == Some(dispatcher));
-            let tasks = job.tasks.iter().filter(|(_, task)| there(&task.place));
-            found.extend(tasks.map(|((step, index), _)| TaskId {
-                job: job.id,
-                step: *step,
-                index: *index,
-            }));
-        }
-        found
-    }
-
-    /// What a lost dispatcher had may go on running, and goes to its successor.
-    fn peer_lost(&mut self, now: Time, peer: InstanceId, out: &mut Vec<Output>) {
-        self.holders.retain(|holder| holder.instance != peer);
-        let trace = Trace {
-            domains: self.held.get(&peer).cloned().unwrap_or_default(),
-            doubt: Doubt::Open,
-            since: now,
-            at: Some(peer),
-        };
-        for job in self.jobs.values_mut() {
-            let mut lost = false;
-            for task in job.tasks.values_mut() {
-                if let Place::Out(at, _) = task.place
-                    && at == peer
-                {
-                    task.place = Place::Unsure(trace.clone());
-                    lost = true;
-                }
-            }
-            if lost {
-                job.doubtful = true;
-                self.open.insert(job.id);
-                let note = JobNote::DispatcherLost {
-                    job: job.id,
-                    dispatcher: peer,
-                };
-                out.push(Output::Note(note));
-            }
-        }
-    }
-
-    /// Dispatchers have dropped what a process had that stood still; its callers may have gone to
-    /// other entries with the same jobs.
-    fn give_up_all(&mut self, now: Time, out: &mut Vec<Output>) {
-        let jobs = self.jobs.values().map(|job| (job.id, job.begun()));
-        for (id, begun) in jobs.collect::<Vec<_>>() {
-            let end = if begun {
-                JobEnd::Unsure
-            } else {
-                JobEnd::Refused(COME_BACK_MS)
-            };
-            self.answer(now, id, end, out);
-        }
-    }
-
     fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
         if self.holders.is_empty() {
             self.alone.get_or_insert(now);
@@ -487,48 +397,6 @@
         left
     }
 
-    /// A dispatcher that was taken for lost is heard again, but no longer dispatches where the tasks may
-    /// be running, so they do not go back to it. If it has them still, it would start them at any
-    /// time, also when they have been handed to another: it is told to drop them, and only a
-    /// whole wait after that it surely has.
-    fn leave_behind(&mut self, now: Time, id: JobId, step: u16, out: &mut Vec<Output>) {
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return;
-        };
-        let mut left: BTreeMap<InstanceId, Vec<TaskId>> = BTreeMap::new();
-        for ((_, index), task) in job.tasks.range_mut((step, 0)..=(step, u16::MAX)) {
-            if let Place::Unsure(trace) = &mut task.place
-                && let Some(at) = trace.at
-                && self.holders.iter().any(|holder| holder.instance == at)
-            {
-                trace.at = None;
-                trace.since = now;
-                left.entry(at).or_default().push(TaskId {
-                    job: id,
-                    step,
-                    index: *index,
-                });
-            }
-        }
-        for (at, tasks) in left {
-            out.push(Output::Send(at, WorkMsg::Drop(tasks)));
-        }
-    }
-
-    /// A task that can no longer be running is handed in like a new one.
-    fn settle_unsure(&mut self, now: Time, id: JobId, step: u16) {
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return;
-        };
-        for (_, task) in job.tasks.range_mut((step, 0)..=(step, u16::MAX)) {
-            if let Place::Unsure(trace) = &task.place
-                && now.since(trace.since) >= SURELY_ENDED
-            {
-                task.place = Place::Todo;
-            }
-        }
-    }
-
     fn send_tasks(
         &mut self,
         now: Time,
--- a/crates/celerywinch_pool/src/lib.rs
+++ b/crates/celerywinch_pool/src/lib.rs
@@ -23,8 +23,10 @@
 mod queue;
 mod results;
 mod run;
+mod submit;
 mod takeover;
 mod times;
+mod told;
 mod worker;
 
 pub use call::{Answer, Call, CallKey, EndedRow, How, Order, Reject, RunningRow};
--- a/crates/celerywinch_pool/src/origins.rs
+++ b/crates/celerywinch_pool/src/origins.rs
@@ -2,10 +2,11 @@
 
 use std::collections::BTreeSet;
 
-use celerywinch_types::{InstanceId, TaskId, Time, WorkMsg};
+use celerywinch_types::{InstanceId, JobId, TaskId, Time, WorkMsg};
 
 use crate::job::{BatchKey, TaskState};
 use crate::pool::{Output, Pool};
+use crate::told::Told;
 
 impl Pool {
     /// Asks an origin what it wants done here.
@@ -73,4 +74,52 @@
             self.stop_run(now, run, out);
         }
     }
+
+    pub(crate) fn cancel(
+        &mut self,
+        now: Time,
+        from: InstanceId,
+        job: JobId,
+        out: &mut Vec<Output>,
+    ) {
+        let keys: Vec<_> = self
+            .batches
+            .iter()
+            .filter(|(_, batch)| batch.order.job == job && batch.origin == from)
+            .map(|(key, _)| key)
+            .collect();
+        for key in keys {
+            self.drop_batch(now, key, out);
+        }
+    }
+
+    pub(crate) fn drop_origin(&mut self, now: Time, origin: InstanceId, out: &mut Vec<Output>) {
+        // Its next life counts from the beginning.
+        let gives_back = |told: &Told| told.origin == origin && told.news.gives_back();
+        self.told.retain(|_, told| !gives_back(told));
+        let keys: Vec<_> = self
+            .batches
+            .iter()
+            .filter(|(_, batch)| batch.origin == origin)
+            .map(|(key, _)| key)
+            .collect();
+        for key in keys {
+            self.drop_batch(now, key, out);
+        }
+    }
+
+    /// Nobody wants the batch any more: its runs are stopped.
+    pub(crate) fn drop_batch(&mut self, now: Time, key: BatchKey, out: &mut Vec<Output>) {
+        self.unqueue(key);
+        let Some(batch) = self.batches.remove(key) else {
+            return;
+        };
+        self.jobs.remove(&(batch.order.job, batch.order.step));
+        for task in batch.tasks.values() {
+            if let TaskState::Running(run) = task.state {
+                self.runs[run].batch = None;
+                self.stop_run(now, run, out);
+            }
+        }
+    }
 }
--- a/crates/celerywinch_pool/src/pool.rs
+++ b/crates/celerywinch_pool/src/pool.rs
@@ -4,18 +4,19 @@
 use std::net::SocketAddr;
 
 use celerywinch_types::{
-    Domain, Doubt, Fence, InstanceId, JobId, Learned, RunNumber, StepOrder, TaskEnd, TaskId,
-    TaskNews, TaskOrder, Time, WorkMsg, WorkerNote, WorkerStage,
+    Domain, Fence, InstanceId, JobId, Learned, RunNumber, TaskEnd, TaskId, TaskNews, Time, WorkMsg,
+    WorkerNote, WorkerStage,
 };
 use slotmap::SlotMap;
 
 use crate::call::{Answer, Call, CallKey, Order, Pending};
 use crate::inflow::Inflow;
-use crate::job::{Batch, BatchKey, Task, TaskState};
+use crate::job::{Batch, BatchKey, TaskState};
 use crate::queue::Queue;
 use crate::run::{Phase, Run, RunKey};
 use crate::takeover::Takeover;
 use crate::times::Times;
+use crate::told::Told;
 use crate::worker::{Grip, Worker, WorkerKey, domain_of};
 use crate::{Note, PoolConfig};
 
@@ -56,31 +57,6 @@
     Note(Note),
 }
 
-/// Ends are kept for this long, for origins that did not hear of them.
-const REMEMBER: std::time::Duration = std::time::Duration::from_secs(3);
-
-/// What an origin was told of a task.
-#[derive(Clone, Copy, Debug)]
-struct Told {
-    at: Time,
-    origin: InstanceId,
-    news: TaskNews,
-}
-
-impl Told {
-    /// Whether it answers a task that is handed in again, since the message may be lost.
-    ///
-    /// A result does always. That there was no room does if the task was with this dispatcher all
-    /// the while: it has not been started since. If another had it meanwhile, it may run there.
-    fn settles(&self, origin: InstanceId, order: &TaskOrder) -> bool {
-        match self.news.end {
-            TaskEnd::Done | TaskEnd::Failed => order.doubt != Doubt::None,
-            TaskEnd::Full => self.origin == origin && self.news.hand >= order.first,
-            TaskEnd::Returned { .. } | TaskEnd::Doubtful | TaskEnd::Refused(_) => false,
-        }
-    }
-}
-
 /// The dispatcher.
 #[derive(Debug)]
 pub struct Pool {
@@ -100,15 +76,15 @@
     pub(crate) inflow: Inflow,
     pub(crate) takeover: Takeover,
     /// What origins were told of tasks that are here no more.
-    told: BTreeMap<TaskId, Told>,
-    news: BTreeMap<InstanceId, Vec<TaskNews>>,
+    pub(crate) told: BTreeMap<TaskId, Told>,
+    pub(crate) news: BTreeMap<InstanceId, Vec<TaskNews>>,
     /// Batches that lost a task during the current input; the empty ones are dropped after it.
     pub(crate) touched: Vec<BatchKey>,
     /// The last question to each origin, and how many there were.
     pub(crate) asked: BTreeMap<InstanceId, u64>,
     pub(crate) asks: u64,
     /// The batch of the current input, if what finds no room of it is to be given back.
-    passing: Option<BatchKey>,
+    pub(crate) passing: Option<BatchKey>,
 }
 
 impl Pool {
@@ -231,7 +207,7 @@
         self.tend_takeover(now, out);
         self.tend_runs(now, out);
         self.shed(now, out);
-        self.told.retain(|_, told| now.since(told.at) <= REMEMBER);
+        self.told.retain(|_, told| told.is_kept(now));
     }
 
     fn work(&mut self, now: Time, from: InstanceId, msg: WorkMsg, out: &mut Vec<Output>) {
@@ -290,190 +266,8 @@
         }
     }
 
-    fn submit(&mut self, now: Time, from: InstanceId, mut order: StepOrder, out: &mut Vec<Output>) {
-        let tasks = std::mem::take(&mut order.tasks);
-        if self.held.is_empty() {
-            self.give_back(from, &order, &tasks);
-            return;
-        }
-        let known = self.jobs.get(&(order.job, order.step)).copied();
-        let key = match known {
-            Some(key) => {
-                // Sent again, perhaps by another origin, to which its caller has turned.
-                self.batches[key].origin = from;
-                key
-            }
-            None => {
-                let batch = self.new_batch(now, from, order);
-                let (fresh, pass) = (batch.order.fresh, batch.order.pass);
-                if fresh && !pass && self.refuse_new(now, &batch, tasks.len(), out) {
-                    return;
-                }
-                if !pass {
-                    let work = batch.work_of(tasks.len());
-                    self.inflow.add(now, batch.order.priority, work);
-                }
-                let name = (batch.order.job, batch.order.step);
-                let key = self.batches.insert(batch);
-                self.jobs.insert(name, key);
-                self.passing = pass.then_some(key);
-                key
-            }
-        };
-        self.unqueue(key);
-        for task in tasks {
-            self.add_task(now, key, task);
-        }
-        self.requeue(key);
-        self.touched.push(key);
-    }
-
-    /// Gives back what found no room of a batch that came in just now, for another dispatcher to start.
-    fn pass_on(&mut self, now: Time, key: BatchKey, out: &mut Vec<Output>) {
-        let Some(batch) = self.batches.get(key) else {
-            return;
-        };
-        let tasks = batch.tasks.iter();
-        let waiting = tasks.filter(|(_, task)| task.state == TaskState::Waiting);
-        let waiting: Vec<u16> = waiting.map(|(index, _)| *index).collect();
-        let started = batch.tasks.len() - waiting.len();
-        self.inflow
-            .add(now, batch.order.priority, batch.work_of(started));
-        if !waiting.is_empty() {
-            out.push(Output::Note(Note::Passed {
-                job: batch.order.job,
-                origin: batch.origin,
-                tasks: waiting.len(),
-                started,
-                queued: self.queue.len(),
-            }));
-        }
-        self.unqueue(key);
-        for index in waiting {
-            self.finish(now, key, index, TaskEnd::Full);
-        }
-        self.drop_empty();
-    }
-
-    /// Nothing is dispatched here. What may be running elsewhere stays with its origin as it was,
-    /// until the heartbeat tells who dispatches.
-    fn give_back(&mut self, to: InstanceId, order: &StepOrder, tasks: &[TaskOrder]) {
-        for task in tasks {
-            let id = TaskId {
-                job: order.job,
-                step: order.step,
-                index: task.index,
-            };
-            let end = match task.doubt {
-                Doubt::None => TaskEnd::Returned {
-                    at: None,
-                    failures: task.failures,
-                    run: task.run,
-                },
-                Doubt::Last | Doubt::Open => TaskEnd::Doubtful,
-            };
-            let news = TaskNews {
-                task: id,
-                hand: task.hand,
-                end,
-            };
-            self.news.entry(to).or_default().push(news);
-        }
-    }
-
-    fn new_batch(&self, now: Time, origin: InstanceId, order: StepOrder) -> Batch {
-        let ms = std::time::Duration::from_millis;
-        let expected = self.times.expected(&order.queue, order.estimate);
-        let chain = self.times.expected(&order.queue, order.chain);
-        let objective = chain.mul_f64(f64::from(order.slack) / 1e3) + ms(order.target.into());
-        let age = ms(order.age.into());
-        Batch {
-            origin,
-            due: now + objective - age,
-            expected,
-            tasks: BTreeMap::new(),
-            begun: !order.fresh,
-            order,
-        }
-    }
-
-    fn add_task(&mut self, now: Time, key: BatchKey, order: TaskOrder) {
-        let batch = &mut self.batches[key];
-        let id = batch.id(order.index);
-        if let Some(task) = batch.tasks.get_mut(&order.index) {
-            task.hand = order.hand;
-            task.unnamed = false;
-            return;
-        }
-        if let Some(told) = self.told.get(&id)
-            && told.settles(batch.origin, &order)
-        {
-            let news = TaskNews {
-                hand: order.hand,
-                ..told.news
-            };
-            self.report(key, news);
-            return;
-        }
-        let task = Task {
-            state: TaskState::Waiting,
-            failures: order.failures,
-            run: order.run,
-            doubt: order.doubt,
-            hand: order.hand,
-            unnamed: false,
-            avoid: None,
-        };
-        self.batches[key].tasks.insert(order.index, task);
-        if order.doubt != Doubt::None {
-            self.settle(now, key, order.index);
-        }
-    }
-
-    fn cancel(&mut self, now: Time, from: InstanceId, job: JobId, out: &mut Vec<Output>) {
-        let keys: Vec<_> = self
-            .batches
-            .iter()
-            .filter(|(_, batch)| batch.order.job == job && batch.origin == from)
-            .map(|(key, _)| key)
-            .collect();
-        for key in keys {
-            self.drop_batch(now, key, out);
-        }
-    }
-
-    fn drop_origin(&mut self, now: Time, origin: InstanceId, out: &mut Vec<Output>) {
-        // Its next life counts from the beginning.
-        let gives_back = |told: &Told| told.origin == origin && told.news.gives_back();
-        self.told.retain(|_, told| !gives_back(told));
-        let keys: Vec<_> = self
-            .batches
-            .iter()
-            .filter(|(_, batch)| batch.origin == origin)
-            .map(|(key, _)| key)
-            .collect();
-        for key in keys {
-            self.drop_batch(now, key, out);
-        }
-    }
-
-    /// Nobody wants the batch any more: its runs are stopped.
-    pub(crate) fn drop_batch(&mut self, now: Time, key: BatchKey, out: &mut Vec<Output>) {
-        self.unqueue(key);
-        let Some(batch) = self.batches.remove(key) else {
-            return;
-        };
-        self.jobs.remove(&(batch.order.job, batch.order.step));
-        for task in batch.tasks.values() {
-            if let TaskState::Running(run) = task.state {
-                self.runs[run].batch = None;
-                self.stop_run(now, run, out);
-            }
-        }
-    }
-
     /// Not before the end of an input: what works on a batch must not lose it on the way.
-    fn drop_empty(&mut self) {
+    pub(crate) fn drop_empty(&mut self) {
         for key in std::mem::take(&mut self.touched) {
             let empty = self.batches.get(key).is_some_and(|b| b.tasks.is_empty());
             if empty && let Some(batch) = self.batches.remove(key) {
@@ -519,7 +313,7 @@
         self.touched.push(key);
     }
 
-    fn report(&mut self, key: BatchKey, news: TaskNews) {
+    pub(crate) fn report(&mut self, key: BatchKey, news: TaskNews) {
         if let Some(batch) = self.batches.get(key) {
             self.news.entry(batch.origin).or_default().push(news);
         }
--- /dev/null
+++ b/crates/celerywinch_pool/src/submit.rs
@@ -0,0 +1,157 @@
+//! Taking in what origins hand in.
+
+use std::collections::BTreeMap;
+
+use celerywinch_types::{Doubt, InstanceId, StepOrder, TaskEnd, TaskId, TaskNews, TaskOrder, Time};
+
+use crate::Note;
+use crate::job::{Batch, BatchKey, Task, TaskState};
+use crate::pool::{Output, Pool};
+
+impl Pool {
+    pub(crate) fn submit(
+        &mut self,
+        now: Time,
+        from: InstanceId,
+        mut order: StepOrder,
+        out: &mut Vec<Output>,
+    ) {
+        let tasks = std::mem::take(&mut order.tasks);
+        if self.held.is_empty() {
+            self.give_back(from, &order, &tasks);
+            return;
+        }
+        let known = self.jobs.get(&(order.job, order.step)).copied();
+        let key = match known {
+            Some(key) => {
+                // Sent again, perhaps by another origin, to which its caller has turned.
+                self.batches[key].origin = from;
+                key
+            }
+            None => {
+                let batch = self.new_batch(now, from, order);
+                let (fresh, pass) = (batch.order.fresh, batch.order.pass);
+                if fresh && !pass && self.refuse_new(now, &batch, tasks.len(), out) {
+                    return;
+                }
+                if !pass {
+                    let work = batch.work_of(tasks.len());
+                    self.inflow.add(now, batch.order.priority, work);
+                }
+                let name = (batch.order.job, batch.order.step);
+                let key = self.batches.insert(batch);
+                self.jobs.insert(name, key);
+                self.passing = pass.then_some(key);
+                key
+            }
+        };
+        self.unqueue(key);
+        for task in tasks {
+            self.add_task(now, key, task);
+        }
+        self.requeue(key);
+        self.touched.push(key);
+    }
+
+    /// Gives back what found no room of a batch that came in just now, for another dispatcher to start.
+    pub(crate) fn pass_on(&mut self, now: Time, key: BatchKey, out: &mut Vec<Output>) {
+        let Some(batch) = self.batches.get(key) else {
+            return;
+        };
+        let tasks = batch.tasks.iter();
+        let waiting = tasks.filter(|(_, task)| task.state == TaskState::Waiting);
+        let waiting: Vec<u16> = waiting.map(|(index, _)| *index).collect();
+        let started = batch.tasks.len() - waiting.len();
+        self.inflow
+            .add(now, batch.order.priority, batch.work_of(started));
+        if !waiting.is_empty() {
+            out.push(Output::Note(Note::Passed {
+                job: batch.order.job,
+                origin: batch.origin,
+                tasks: waiting.len(),
+                started,
+                queued: self.queue.len(),
+            }));
+        }
+        self.unqueue(key);
+        for index in waiting {
+            self.finish(now, key, index, TaskEnd::Full);
+        }
+        self.drop_empty();
+    }
+
+    /// Nothing is dispatched here. What may be running elsewhere stays with its origin as it was,
+    /// until the heartbeat tells who dispatches.
+    pub(crate) fn give_back(&mut self, to: InstanceId, order: &StepOrder, tasks: &[TaskOrder]) {
+        for task in tasks {
+            let id = TaskId {
+                job: order.job,
+                step: order.step,
+                index: task.index,
+            };
+            let end = match task.doubt {
+                Doubt::None => TaskEnd::Returned {
+                    at: None,
+                    failures: task.failures,
+                    run: task.run,
+                },
+                Doubt::Last | Doubt::Open => TaskEnd::Doubtful,
+            };
+            let news = TaskNews {
+                task: id,
+                hand: task.hand,
+                end,
+            };
+            self.news.entry(to).or_default().push(news);
+        }
+    }
+
+    pub(crate) fn new_batch(&self, now: Time, origin: InstanceId, order: StepOrder) -> Batch {
+        let ms = std::time::Duration::from_millis;
+        let expected = self.times.expected(&order.queue, order.estimate);
+        let chain = self.times.expected(&order.queue, order.chain);
+        let objective = chain.mul_f64(f64::from(order.slack) / 1e3) + ms(order.target.into());
+        let age = ms(order.age.into());
+        Batch {
+            origin,
+            due: now + objective - age,
+            expected,
+            tasks: BTreeMap::new(),
+            begun: !order.fresh,
+            order,
+        }
+    }
+
+    pub(crate) fn add_task(&mut self, now: Time, key: BatchKey, order: TaskOrder) {
+        let batch = &mut self.batches[key];
+        let id = batch.id(order.index);
+        if let Some(task) = batch.tasks.get_mut(&order.index) {
+            task.hand = order.hand;
+            task.unnamed = false;
+            return;
+        }
+        if let Some(told) = self.told.get(&id)
+            && told.settles(batch.origin, &order)
+        {
+            let news = TaskNews {
+                hand: order.hand,
+                ..told.news
+            };
+            self.report(key, news);
+            return;
+        }
+        let task = Task {
+            state: TaskState::Waiting,
+            failures: order.failures,
+            run: order.run,
+            doubt: order.doubt,
+            hand: order.hand,
+            unnamed: false,
+            avoid: None,
+        };
+        self.batches[key].tasks.insert(order.index, task);
+        if order.doubt != Doubt::None {
+            self.settle(now, key, order.index);
+        }
+    }
+}
--- /dev/null
+++ b/crates/celerywinch_pool/src/told.rs
@@ -0,0 +1,35 @@
+//! What origins were told.
+
+use std::time::Duration;
+
+use celerywinch_types::{Doubt, InstanceId, TaskEnd, TaskNews, TaskOrder, Time};
+
+/// Ends are kept for this long, for origins that did not hear of them.
+const REMEMBER: Duration = Duration::from_secs(3);
+
+/// What an origin was told of a task.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Told {
+    pub(crate) at: Time,
+    pub(crate) origin: InstanceId,
+    pub(crate) news: TaskNews,
+}
+
+impl Told {
+    /// Whether its origin may yet name the task again.
+    pub(crate) fn is_kept(&self, now: Time) -> bool {
+        now.since(self.at) <= REMEMBER
+    }
+
+    /// Whether it answers a task that is handed in again, since the message may be lost.
+    ///
+    /// A result does always. That there was no room does if the task was with this dispatcher all
+    /// the while: it has not been started since. If another had it meanwhile, it may run there.
+    pub(crate) fn settles(&self, origin: InstanceId, order: &TaskOrder) -> bool {
+        match self.news.end {
+            TaskEnd::Done | TaskEnd::Failed => order.doubt != Doubt::None,
+            TaskEnd::Full => self.origin == origin && self.news.hand >= order.first,
+            TaskEnd::Returned { .. } | TaskEnd::Doubtful | TaskEnd::Refused(_) => false,
+        }
+    }
+}
--- a/crates/celerywinch_types/src/lib.rs
+++ b/crates/celerywinch_types/src/lib.rs
@@ -12,6 +12,7 @@
 mod message;
 mod outcome;
 mod queue;
+mod status;
 mod time;
 mod timers;
 mod work;
@@ -31,6 +32,7 @@
 };
 pub use outcome::{Failure, Outcome, Ran, Refusal, RefusalReason, Step};
 pub use queue::{Bounds, Queue, QueueBook, Service};
+pub use status::ExitStatus;
 pub use time::{Time, WallMs};
 pub use timers::{TimerId, TimerQueue};
 pub use work::{
--- a/crates/celerywinch/src/status.rs
+++ b/crates/celerywinch_types/src/status.rs
@@ -1,15 +1,15 @@
-//! Exit codes.
+//! How programs end.
 
 use std::process::ExitCode;
 
-/// How a command ended.
+/// How a program ended, as its exit code tells.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ExitStatus {
-    /// It did what it was asked, and all checks held.
+    /// It did what it was asked, all checks held, and a planned stop cut nothing off: 0.
     Success,
-    /// A check did not hold, or the system refused.
+    /// A check did not hold, the system refused, or there was a fault while running: 1.
     Failure,
-    /// Wrong arguments or files.
+    /// Wrong arguments, settings or files: 2.
     Usage,
 }
 
--- a/crates/celerywinchd/src/lib.rs
+++ b/crates/celerywinchd/src/lib.rs
@@ -1,38 +1,17 @@
 //! The daemon: one instance of the system, from a settings file.
 
 use std::path::Path;
-use std::process::ExitCode;
 
 use anyhow::Context;
 use celerywinch_node::{Node, NodeOptions};
 use celerywinch_settings::{Settings, load_settings};
+pub use celerywinch_types::ExitStatus;
 use getopts::{Matches, Options};
 use log::LevelFilter;
 use ntex::rt::{DefaultRuntime, System, SystemRunner};
 use simplelog::{ConfigBuilder, SimpleLogger};
 use tokio::signal::unix::{SignalKind, signal};
 
-/// How the daemon ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ExitStatus {
-    /// A planned stop, with nothing in flight cut off.
-    Success,
-    /// A fault while running.
-    Failure,
-    /// Wrong arguments or settings.
-    Usage,
-}
-
-impl From<ExitStatus> for ExitCode {
-    fn from(status: ExitStatus) -> Self {
-        match status {
-            ExitStatus::Success => Self::SUCCESS,
-            ExitStatus::Failure => Self::from(1),
-            ExitStatus::Usage => Self::from(2),
-        }
-    }
-}
-
 /// Runs the daemon until it is told to stop (SIGTERM or SIGINT).
 #[must_use]
 pub fn run(arguments: &[String]) -> ExitStatus {
