Each process that is heard is told of all workers; connecting is given up after 300 ms

Ruled out: division of the domains, workers set aside (logs: none). The dispatcher knew 25 workers when it took over instead of 39, and never learned of some: a keeper tells each new worker once, to the entries that it hears, and one whose link was open but whose first heartbeat was on its way is told neither with the list nor singly. The same holds after a silence without a broken link. Change: the member tells its host of each process that is heard, for the first time or again, and keepers send it all workers. Test in origins.rs (the output did not exist before).

--- a/crates/celerywinch_bench/src/members/world.rs
+++ b/crates/celerywinch_bench/src/members/world.rs
@@ -301,7 +301,7 @@
                 Output::Call(call) => self.call(index, call),
                 Output::Send(to, msg) => self.deliver(index, to.0 as usize - 1, msg),
                 Output::Answer(caller, end) => self.answer(caller, end),
-                Output::NewPeer(_) | Output::Forget(_) | Output::Stage(_) => {}
+                Output::NewPeer(_) | Output::Heard(_) | Output::Forget(_) | Output::Stage(_) => {}
                 Output::Member(note) => self.follow(index, &note, true),
                 Output::Dispatch(note) => {
                     let of_members = matches!(note, Note::Acquired { .. } | Note::Resigned { .. });
--- a/crates/celerywinch_fleet/src/core/members.rs
+++ b/crates/celerywinch_fleet/src/core/members.rs
@@ -39,10 +39,7 @@
                 let beat = self.member.own_beat();
                 self.links.send(peer, FleetMsg::Beat(beat));
                 self.send_contacts(peer);
-                if self.roster.len() > 0 {
-                    let notes = self.roster.all();
-                    self.links.send(peer, FleetMsg::Workers(notes));
-                }
+                self.send_workers(peer);
                 self.input(now, Input::LinkReset(peer));
             }
             LinkEvent::Refused => self.input(now, Input::Refused(peer)),
@@ -50,6 +47,19 @@
         }
     }
 
+    /// Tells a process of all workers that are known here.
+    ///
+    /// A worker is told once, to the entries that are heard at that moment. One that a keeper's link
+    /// had reached, but whose first heartbeat was still on its way, would never learn of the workers
+    /// that announced themselves in between, and dispatch without them for as long as it runs. So
+    /// each that is heard, for the first time or again, is told of all.
+    pub(super) fn send_workers(&self, to: InstanceId) {
+        if self.roster.len() > 0 {
+            let notes = self.roster.all();
+            self.links.send(to, FleetMsg::Workers(notes));
+        }
+    }
+
     fn send_contacts(&self, to: InstanceId) {
         let peers = self.member.peers().all();
         let contacts = peers.map(|(instance, view)| Contact {
--- a/crates/celerywinch_fleet/src/core/work.rs
+++ b/crates/celerywinch_fleet/src/core/work.rs
@@ -49,6 +49,7 @@
                 }
             }
             Output::NewPeer(peer) => self.new_peer(peer),
+            Output::Heard(peer) => self.send_workers(peer),
             Output::Forget(peer) => self.forget(peer),
             Output::Stage(_) => {}
             Output::Member(note) => self.journal.write(now, "member", Kind::Telling, &note),
--- a/crates/celerywinch_links/src/outgoing.rs
+++ b/crates/celerywinch_links/src/outgoing.rs
@@ -20,8 +20,11 @@
     SECRET_HEADER, frame,
 };
 
-/// How long opening a connection may take.
-const CONNECT: Duration = Duration::from_millis(800);
+/// How long opening a connection may take. A machine without power, or behind a cut, answers nothing, and
+/// the system sends the opening packet again only after 1 s: what was begun before the machine is
+/// back must be given up, or a peer is found up to that time later than it could be. Opening one
+/// takes 10 ms between data centres, and tens of ms on a small machine that is busy.
+const CONNECT: Duration = Duration::from_millis(300);
 /// Between two attempts.
 const PAUSE: Duration = Duration::from_millis(100);
 /// Between two pings.
--- a/crates/celerywinch_member/src/member.rs
+++ b/crates/celerywinch_member/src/member.rs
@@ -83,6 +83,9 @@
     Answer(CallerId, JobEnd),
     /// A process was heard that was not known, or another life of one.
     NewPeer(Process),
+    /// A process is heard, for the first time or after a silence: what was told to all that were heard
+    /// meanwhile has not reached it.
+    Heard(InstanceId),
     /// A process was not heard for very long.
     Forget(InstanceId),
     /// This process is at another stage.
@@ -286,7 +289,7 @@
             self.new_life(now, from, out);
         }
         if self.alive.insert(from.instance) {
-            self.pool_input(now, PoolInput::AskOrigin(from.instance), out);
+            self.found(now, from.instance, out);
         }
         // A hand-over is taken up at once, and not with the next tick.
         if held_before.is_none_or(|held| held != holdings) {
@@ -315,13 +318,18 @@
         let found: Vec<_> = alive.difference(&self.alive).copied().collect();
         self.alive = alive;
         for peer in found {
-            self.pool_input(now, PoolInput::AskOrigin(peer), out);
+            self.found(now, peer, out);
         }
         for peer in lost {
             self.lose_peer(now, peer, out);
         }
     }
 
+    fn found(&mut self, now: Time, peer: InstanceId, out: &mut Vec<Output>) {
+        out.push(Output::Heard(peer));
+        self.pool_input(now, PoolInput::AskOrigin(peer), out);
+    }
+
     fn lose_peer(&mut self, now: Time, peer: InstanceId, out: &mut Vec<Output>) {
         let view = self.peers.get(peer);
         let silent = view.map_or(Duration::ZERO, |view| now.since(view.heard));
--- a/crates/celerywinch_member/tests/origins.rs
+++ b/crates/celerywinch_member/tests/origins.rs
@@ -134,3 +134,31 @@
     let resync = Output::Send(InstanceId(2), FleetMsg::Work(WorkMsg::Resync(2)));
     assert!(out.contains(&resync), "{out:?}");
 }
+
+/// Workers stay idle while callers are refused: a keeper tells each new worker to the entries that it
+/// hears, and one whose heartbeat had not come yet, or that was silent for a moment, never learns of
+/// them. So the host hears of each process that is heard, for the first time and again.
+#[test]
+fn host_hears_of_each_process_that_is_heard() {
+    let config = MemberConfig {
+        me: process(1, 1),
+        part: Part::Keeper,
+        dc: DC,
+        dcs: BTreeSet::from([DC]),
+        shard: 80,
+        pool: PoolConfig::default(),
+    };
+    let now = Time(1_000_000);
+    let mut member = Member::new(config, now, WallMs(1_700_000_000_000));
+    let mut heard = Vec::new();
+    for (ms, said) in [(0, true), (100, true), (460, false), (500, true)] {
+        let now = now + Duration::from_millis(ms);
+        let mut out = Vec::new();
+        if said {
+            member.handle(now, Input::Beat(process(2, 1), beat()), &mut out);
+        }
+        member.handle(now, Input::Tick, &mut out);
+        heard.push(out.contains(&Output::Heard(InstanceId(2))));
+    }
+    assert_eq!(heard, [true, false, false, true]);
+}
