Tests of origins share one member

Cause: the new test of the output Heard copied the set-up of two others. Figures: the nine tests of celerywinch_member pass. No code of the product changes.

--- a/crates/celerywinch_member/tests/origins.rs
+++ b/crates/celerywinch_member/tests/origins.rs
@@ -20,6 +20,19 @@
     }
 }
 
+/// The process under test, in the one data centre.
+fn member(now: Time, part: Part) -> Member {
+    let config = MemberConfig {
+        me: process(1, 1),
+        part,
+        dc: DC,
+        dcs: BTreeSet::from([DC]),
+        shard: 80,
+        pool: PoolConfig::default(),
+    };
+    Member::new(config, now, WallMs(1_700_000_000_000))
+}
+
 fn beat() -> Beat {
     Beat {
         part: Part::Entry,
@@ -81,16 +94,8 @@
 #[case::silent(Origin::Silent, false)]
 #[case::other_life(Origin::OtherLife, false)]
 fn work_of_an_origin_that_is_gone_is_dropped(#[case] origin: Origin, #[case] taken: bool) {
-    let config = MemberConfig {
-        me: process(1, 1),
-        part: Part::Entry,
-        dc: DC,
-        dcs: BTreeSet::from([DC]),
-        shard: 80,
-        pool: PoolConfig::default(),
-    };
     let mut now = Time(1_000_000);
-    let mut member = Member::new(config, now, WallMs(1_700_000_000_000));
+    let mut member = member(now, Part::Entry);
     let mut out = Vec::new();
     member.handle(now, Input::Version(1), &mut out);
     for _ in 0..60 {
@@ -115,16 +120,8 @@
 /// or the caller would wait for ever.
 #[test]
 fn origin_that_is_heard_again_is_asked_for_its_work() {
-    let config = MemberConfig {
-        me: process(1, 1),
-        part: Part::Entry,
-        dc: DC,
-        dcs: BTreeSet::from([DC]),
-        shard: 80,
-        pool: PoolConfig::default(),
-    };
     let mut now = Time(1_000_000);
-    let mut member = Member::new(config, now, WallMs(1_700_000_000_000));
+    let mut member = member(now, Part::Entry);
     let mut out = Vec::new();
     member.handle(now, Input::Beat(process(2, 1), beat()), &mut out);
     member.handle(now, Input::Refused(InstanceId(2)), &mut out);
@@ -140,16 +137,8 @@
 /// them. So the host hears of each process that is heard, for the first time and again.
 #[test]
 fn host_hears_of_each_process_that_is_heard() {
-    let config = MemberConfig {
-        me: process(1, 1),
-        part: Part::Keeper,
-        dc: DC,
-        dcs: BTreeSet::from([DC]),
-        shard: 80,
-        pool: PoolConfig::default(),
-    };
     let now = Time(1_000_000);
-    let mut member = Member::new(config, now, WallMs(1_700_000_000_000));
+    let mut member = member(now, Part::Keeper);
     let mut heard = Vec::new();
     for (ms, said) in [(0, true), (100, true), (460, false), (500, true)] {
         let now = now + Duration::from_millis(ms);
