--- a/crates/celerywinch/src/commands/soak.rs
+++ b/crates/celerywinch/src/commands/soak.rs
@@ -16,7 +16,7 @@
     run,
 };
 
-const BRIEF: &str = "Usage: celerywinch soak [--seed N] [--steps M] [--calm] [--store]\n       celerywinch soak --members [--seed N] [--runs M]\n\n\
+const BRIEF: &str = "Usage: celerywinch soak [--seed N] [--steps M] [--calm] [--store]\n       celerywinch soak --members [--seed N] [--runs M] [--held]\n\n\
     Drives the entries' state machines with a virtual clock under lost, doubled, delayed and\n\
     reordered messages, deaths, freezes, cuts and lost memory. One seed gives one run.\n\
     Prints `steps=… starts=… violations=…` last and exits 1 on a violation.";
@@ -28,6 +28,9 @@
 /// The most workers of a dispatcher, of 48: one for all, or several that hand on what finds no room.
 const MEMBERS_SHARDS: [usize; 3] = [80, 8, 16];
 
+/// What callers wait at most where messages are held up, in ms; the users' callers wait up to 8 s.
+const PATIENT: u32 = 8_000;
+
 /// Events of a run where none are asked for.
 const STEPS: u64 = 200_000;
 
@@ -52,6 +55,11 @@
         "with --members: so many seeds in turn; 1 without it",
         "N",
     );
+    options.optflag(
+        "",
+        "held",
+        "with --members: cut many entries off at once and hold their messages up, too",
+    );
     options.optopt(
         "",
         "follow-job",
@@ -67,7 +75,8 @@
     if matches.opt_present("members") {
         let runs = number(&matches, "runs")?.unwrap_or(1);
         let job = number(&matches, "follow-job")?;
-        return Ok(members(seed, runs, job));
+        let held = matches.opt_present("held");
+        return Ok(members(seed, runs, held, job));
     }
     let store = matches.opt_present("store");
     let options = SoakOptions {
@@ -111,7 +120,17 @@
     })
 }
 
-fn members(seed: u64, runs: u64, follow: Option<u64>) -> ExitStatus {
+/// The brief's kinds of jobs. Where messages are held up their callers wait longer, or none would wait
+/// any more when they arrive.
+fn classes(held: bool) -> Vec<members::ClassPlan> {
+    let mut classes = members::brief_classes();
+    if held {
+        classes.iter_mut().for_each(|class| class.timeout = PATIENT);
+    }
+    classes
+}
+
+fn members(seed: u64, runs: u64, held: bool, follow: Option<u64>) -> ExitStatus {
     let mut violated = 0;
     let mut starts = 0;
     for seed in seed..seed + runs {
@@ -124,7 +143,7 @@
             shard: MEMBERS_SHARDS[(seed % MEMBERS_SHARDS.len() as u64) as usize],
             length: MEMBERS_LOAD,
             load: members::LoadPlan {
-                classes: members::brief_classes(),
+                classes: classes(held),
                 cpu: members::BRIEF_CPU,
                 burst: None,
             },
@@ -133,6 +152,7 @@
                 members: true,
                 workers: true,
                 clocks: seed % 5 >= 3,
+                held,
             }),
             follow: follow.map(JobId),
         });
--- a/crates/celerywinch_bench/src/members/faults.rs
+++ b/crates/celerywinch_bench/src/members/faults.rs
@@ -19,6 +19,9 @@
     pub clocks: bool,
     /// Whether workers crash, hang, slow down and fail, and their calls are lost or carried out late.
     pub workers: bool,
+    /// Whether many entries at once are cut off from all other members, while workers and callers
+    /// reach them; what was sent as the cut began arrives up to some seconds after it has healed.
+    pub held: bool,
 }
 
 /// A fault.
@@ -28,6 +31,7 @@
     Leave,
     Freeze,
     Cut,
+    CutEntries,
     Crash,
     Hang,
     Slow,
@@ -37,6 +41,7 @@
 }
 
 const MEMBER_FAULTS: [Fault; 4] = [Fault::Kill, Fault::Leave, Fault::Freeze, Fault::Cut];
+const HELD_FAULTS: [Fault; 1] = [Fault::CutEntries];
 const WORKER_FAULTS: [Fault; 6] = [
     Fault::Crash,
     Fault::Hang,
@@ -50,7 +55,13 @@
     pub(crate) fn strike(&mut self, plan: FaultPlan) {
         let members = MEMBER_FAULTS.iter().filter(|_| plan.members);
         let workers = WORKER_FAULTS.iter().filter(|_| plan.workers);
-        let Some(fault) = members.chain(workers).choose(&mut self.random).copied() else {
+        let held = HELD_FAULTS.iter().filter(|_| plan.held);
+        let Some(fault) = members
+            .chain(workers)
+            .chain(held)
+            .choose(&mut self.random)
+            .copied()
+        else {
             return;
         };
         let lasts = Duration::from_millis(self.random.random_range(200..2_500));
@@ -62,6 +73,7 @@
             Fault::Leave => self.stop_member(),
             Fault::Freeze => self.freeze_member(lasts),
             Fault::Cut => self.cut(lasts),
+            Fault::CutEntries => self.cut_entries(lasts),
             Fault::Crash => self.crash_worker(lasts),
             Fault::Hang => self.weaken(Health::Hangs, lasts),
             Fault::Slow => {
--- a/crates/celerywinch_bench/src/members/mod.rs
+++ b/crates/celerywinch_bench/src/members/mod.rs
@@ -2,6 +2,7 @@
 //! faults, whose histories are checked, and for loads, whose service is measured.
 
 mod callers;
+mod cuts;
 mod faults;
 mod history;
 mod load;
--- a/crates/celerywinch_domains/tests/holders.rs
+++ b/crates/celerywinch_domains/tests/holders.rs
@@ -33,6 +33,8 @@
         fence: Fence(0),
         version: 1,
         shards: 1,
+        sent: Time(0),
+        echo: None,
     }
 }
 
--- a/crates/celerywinch_fleet/src/core/members.rs
+++ b/crates/celerywinch_fleet/src/core/members.rs
@@ -36,7 +36,7 @@
     pub(super) fn link(&mut self, now: Time, peer: InstanceId, event: LinkEvent) {
         match event {
             LinkEvent::Opened | LinkEvent::Replaced => {
-                let beat = self.member.own_beat();
+                let beat = self.member.beat_for(now, peer);
                 self.links.send(peer, FleetMsg::Beat(beat));
                 self.send_contacts(peer);
                 self.send_workers(peer);
@@ -114,7 +114,7 @@
         let seeds = self.config.seeds.iter().copied();
         let unheard: Vec<_> = seeds.filter(|seed| peers.get(*seed).is_none()).collect();
         for seed in unheard {
-            let beat = self.member.own_beat();
+            let beat = self.member.beat_for(now, seed);
             self.links.send(seed, FleetMsg::Beat(beat));
         }
     }
--- a/crates/celerywinch_fleet/src/metrics.rs
+++ b/crates/celerywinch_fleet/src/metrics.rs
@@ -60,6 +60,8 @@
             Note::Acquired { .. } | Note::Resigned { .. } => self.changes.inc(),
             Note::Queued { .. }
             | Note::Passed { .. }
+            | Note::HeldUp { .. }
+            | Note::GrantOver { .. }
             | Note::Started { .. }
             | Note::WorkerSilent { .. }
             | Note::WorkerHeld { .. }
--- a/crates/celerywinch_links/src/incoming.rs
+++ b/crates/celerywinch_links/src/incoming.rs
@@ -1,6 +1,9 @@
 //! The receiving side of links.
 
-use anyhow::Context;
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use anyhow::{Context, bail};
 use bytes::BytesMut;
 use celerywinch_types::{Incarnation, InstanceId, Process};
 use h2::RecvStream;
@@ -8,16 +11,30 @@
 use subtle::ConstantTimeEq;
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::{Host, INCARNATION_HEADER, INSTANCE_HEADER, LinkConfig, Message, SECRET_HEADER, frame};
+use crate::{
+    Host, INCARNATION_HEADER, INSTANCE_HEADER, LinkConfig, Message, SECRET_HEADER, STREAM_HEADER,
+    StreamOrder, frame,
+};
+
+/// The last streams of all peers; links live on one thread.
+type Streams = Rc<RefCell<StreamOrder>>;
+
+/// A stream and who sends on it.
+#[derive(Clone, Copy, Debug)]
+struct Sender {
+    process: Process,
+    stream: u64,
+}
 
 /// Accepts links until the process ends; called on the core thread.
 pub async fn listen<M: Message, H: Host<M>>(listener: TcpListener, host: H, config: LinkConfig) {
+    let streams = Streams::default();
     loop {
         match listener.accept().await {
             Ok((socket, _)) => {
-                let (host, config) = (host.clone(), config.clone());
+                let (host, config, streams) = (host.clone(), config.clone(), streams.clone());
                 ntex::rt::spawn(async move {
-                    if let Err(error) = serve(socket, host, &config).await {
+                    if let Err(error) = serve(socket, host, &config, streams).await {
                         log::debug!("link: An incoming link ended: {error:#}.");
                     }
                 });
@@ -34,6 +51,7 @@
     socket: TcpStream,
     host: H,
     config: &LinkConfig,
+    streams: Streams,
 ) -> anyhow::Result<()> {
     socket.set_nodelay(true)?;
     let mut connection = h2::server::Builder::new()
@@ -45,20 +63,24 @@
     while let Some(accepted) = connection.accept().await {
         let (request, mut respond) = accepted?;
         let sender = identify(&request, config);
+        let opened = |from: &Sender| streams.borrow_mut().open(from.process, from.stream);
         let status = match sender {
-            Some(_) => StatusCode::OK,
             None => StatusCode::UNAUTHORIZED,
+            Some(from) if opened(&from) => StatusCode::OK,
+            Some(_) => StatusCode::CONFLICT,
         };
+        let taken = sender.filter(|_| status.is_success());
         let response = Response::builder().status(status).body(())?;
-        let keep = respond.send_response(response, sender.is_none())?;
-        if let Some(from) = sender {
-            let host = host.clone();
-            host.accepted(from);
+        let keep = respond.send_response(response, taken.is_none())?;
+        if let Some(from) = taken {
+            let (host, streams) = (host.clone(), streams.clone());
+            host.accepted(from.process);
             ntex::rt::spawn(async move {
                 // Dropping the response would reset the stream.
                 let _keep = keep;
-                if let Err(error) = receive(request.into_body(), from, &host).await {
-                    log::debug!("link: Receiving from {} ended: {error:#}.", from.instance);
+                if let Err(error) = receive(request.into_body(), from, &host, &streams).await {
+                    let peer = from.process.instance;
+                    log::debug!("link: Receiving from {peer} ended: {error:#}.");
                 }
             });
         }
@@ -67,16 +89,20 @@
 }
 
 /// Who sends, if the secret is the right one.
-fn identify(request: &Request<RecvStream>, config: &LinkConfig) -> Option<Process> {
+fn identify(request: &Request<RecvStream>, config: &LinkConfig) -> Option<Sender> {
     let headers = request.headers();
     let shown = headers.get(SECRET_HEADER)?.as_bytes();
     if !bool::from(shown.ct_eq(config.secret.as_bytes())) {
         log::warn!("link: Refused a link with a wrong secret.");
         return None;
     }
-    Some(Process {
+    let process = Process {
         instance: InstanceId(number(headers, INSTANCE_HEADER)?),
         incarnation: Incarnation(number(headers, INCARNATION_HEADER)?),
+    };
+    Some(Sender {
+        process,
+        stream: number(headers, STREAM_HEADER)?,
     })
 }
 
@@ -86,8 +112,9 @@
 
 async fn receive<M: Message, H: Host<M>>(
     mut stream: RecvStream,
-    from: Process,
+    from: Sender,
     host: &H,
+    streams: &Streams,
 ) -> anyhow::Result<()> {
     let mut buffer = BytesMut::new();
     while let Some(data) = stream.data().await {
@@ -95,8 +122,11 @@
         buffer.extend_from_slice(&data);
         stream.flow_control().release_capacity(data.len())?;
         while let Some((stamp, msg)) = frame::decode(&mut buffer)? {
+            if !streams.borrow().is_last(from.process, from.stream) {
+                bail!("its sender has opened a later stream");
+            }
             host.observe(stamp);
-            host.received(from, msg)?;
+            host.received(from.process, msg)?;
         }
     }
     Ok(())
--- a/crates/celerywinch_links/src/lib.rs
+++ b/crates/celerywinch_links/src/lib.rs
@@ -9,10 +9,13 @@
 
 mod frame;
 mod incoming;
+mod order;
 mod outgoing;
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use celerywinch_types::{InstanceId, Process};
 use serde::Serialize;
@@ -20,12 +23,15 @@
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 
 pub use incoming::listen;
+pub use order::StreamOrder;
 
 /// The header with the shared secret.
 const SECRET_HEADER: &str = "celerywinch-secret";
 /// The headers that name the sender.
 const INSTANCE_HEADER: &str = "celerywinch-instance";
 const INCARNATION_HEADER: &str = "celerywinch-incarnation";
+/// The header with the sender's count of the streams that it opened on this link.
+const STREAM_HEADER: &str = "celerywinch-stream";
 
 /// What travels on links.
 pub trait Message: Serialize + DeserializeOwned + Send + 'static {}
@@ -88,10 +94,15 @@
     Probe,
 }
 
+/// How many streams a process has opened, or tried to. One count for all links: that of a link which was
+/// closed and is opened again must not begin anew, or its peer would take its streams for earlier ones.
+type StreamCount = Rc<Cell<u64>>;
+
 /// The links of a process.
 pub struct Links<M, H> {
     host: H,
     config: LinkConfig,
+    streams: StreamCount,
     links: BTreeMap<InstanceId, UnboundedSender<LinkMsg<M>>>,
 }
 
@@ -101,6 +112,7 @@
         Self {
             host,
             config,
+            streams: StreamCount::default(),
             links: BTreeMap::new(),
         }
     }
@@ -112,7 +124,13 @@
             return;
         }
         let (sender, receiver) = unbounded_channel();
-        let link = outgoing::Link::new(self.host.clone(), self.config.clone(), peer, addr);
+        let link = outgoing::Link::new(
+            self.host.clone(),
+            self.config.clone(),
+            self.streams.clone(),
+            peer,
+            addr,
+        );
         ntex::rt::spawn(link.run(receiver));
         self.links.insert(peer, sender);
     }
--- a/crates/celerywinch_links/src/outgoing.rs
+++ b/crates/celerywinch_links/src/outgoing.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     Host, INCARNATION_HEADER, INSTANCE_HEADER, LinkConfig, LinkEvent, LinkMsg, Message,
-    SECRET_HEADER, frame,
+    SECRET_HEADER, STREAM_HEADER, StreamCount, frame,
 };
 
 /// How long opening a connection may take. A machine without power, or behind a cut, answers nothing, and
@@ -40,6 +40,7 @@
     config: LinkConfig,
     peer: InstanceId,
     addr: SocketAddr,
+    streams: StreamCount,
     messages: PhantomData<M>,
 }
 
@@ -50,12 +51,19 @@
 }
 
 impl<M: Message, H: Host<M>> Link<M, H> {
-    pub(super) fn new(host: H, config: LinkConfig, peer: InstanceId, addr: SocketAddr) -> Self {
+    pub(super) fn new(
+        host: H,
+        config: LinkConfig,
+        streams: StreamCount,
+        peer: InstanceId,
+        addr: SocketAddr,
+    ) -> Self {
         Self {
             host,
             config,
             peer,
             addr,
+            streams,
             messages: PhantomData,
         }
     }
@@ -139,12 +147,15 @@
         mut sender: SendRequest<bytes::Bytes>,
     ) -> anyhow::Result<SendStream<bytes::Bytes>> {
         let me = self.config.me;
+        let stream = self.streams.get() + 1;
+        self.streams.set(stream);
         let request = Request::builder()
             .method(Method::POST)
             .uri(format!("http://{}/peer", self.addr))
             .header(SECRET_HEADER, &self.config.secret)
             .header(INSTANCE_HEADER, me.instance.0)
             .header(INCARNATION_HEADER, me.incarnation.0)
+            .header(STREAM_HEADER, stream)
             .body(())?;
         std::future::poll_fn(|cx| sender.poll_ready(cx)).await?;
         let (response, stream) = sender.send_request(request, false)?;
--- a/crates/celerywinch_member/src/beats.rs
+++ b/crates/celerywinch_member/src/beats.rs
@@ -4,7 +4,10 @@
 use std::time::Duration;
 
 use celerywinch_origin::{Holder, Input as OriginInput};
-use celerywinch_types::{Beat, Domain, Fence, FleetMsg, Holding, InstanceId, Part, Time};
+use celerywinch_pool::{Grant, Input as PoolInput};
+use celerywinch_types::{
+    Beat, Domain, Echo, Fence, FleetMsg, Holding, InstanceId, Part, Process, Time,
+};
 
 use crate::member::{Member, Output};
 
@@ -20,6 +23,11 @@
 /// be late and one lost with its connection.
 const ALIVE: Duration = Duration::from_millis(350);
 const SLOW_ALIVE: Duration = Duration::from_millis(1_750);
+/// A dispatcher may start tasks of an origin for this long after it sent what the origin has heard of it. The
+/// origin takes it for lost `ALIVE` after that at the earliest. Then the origin waits 1,400 ms, or a
+/// successor 1,100 ms, before the tasks are started elsewhere: 1,450 ms in all, of which a lease and its
+/// errors (841 ms) must be left. In ordinary service heartbeats of both sides lie between, 200 ms.
+const GRANT: Duration = Duration::from_millis(500);
 /// Between two messages with what a dispatcher has learned; it changes by a few percent meanwhile.
 const TEACH: Duration = Duration::from_secs(1);
 
@@ -66,9 +74,15 @@
         self.holdings = held.map(holding).collect();
     }
 
-    /// What this process tells of itself.
+    /// What this process tells another one of itself.
     #[must_use]
-    pub fn own_beat(&self) -> Beat {
+    pub fn beat_for(&self, now: Time, peer: InstanceId) -> Beat {
+        let view = self.peers.get(peer).filter(|view| view.alive(now));
+        let echo = view.map(|view| Echo {
+            life: view.process.incarnation,
+            sent: view.beat.sent,
+            session: self.origin.session(peer),
+        });
         Beat {
             part: self.config.part,
             dc: self.config.dc,
@@ -77,6 +91,28 @@
             fence: self.domains.top(),
             version: self.version,
             shards: self.domains.shards(),
+            sent: now,
+            echo,
+        }
+    }
+
+    /// The sender of a heartbeat heard this process at a moment that is known here by its own clock: it
+    /// does not take it for lost before [`GRANT`] is over, and until then its tasks may be started.
+    pub(crate) fn take_echo(
+        &mut self,
+        now: Time,
+        from: Process,
+        echo: Option<Echo>,
+        out: &mut Vec<Output>,
+    ) {
+        let own = |echo: &Echo| echo.life == self.config.me.incarnation;
+        if let Some(echo) = echo.filter(own) {
+            let grant = Grant {
+                life: from.incarnation,
+                session: echo.session,
+                until: echo.sent + GRANT,
+            };
+            self.pool_input(now, PoolInput::Granted(from.instance, grant), out);
         }
     }
 
@@ -108,10 +144,9 @@
         if slow {
             self.beaten_all = now;
         }
-        let beat = self.own_beat();
         for (peer, view) in self.peers.all() {
             if slow || self.is_close(&view.beat) {
-                out.push(Output::Send(peer, FleetMsg::Beat(beat.clone())));
+                self.send_beat(now, peer, out);
             }
         }
     }
@@ -120,14 +155,13 @@
     pub(crate) fn send_beats(&mut self, now: Time, out: &mut Vec<Output>) {
         self.beaten = now;
         self.beaten_all = now;
-        let beat = self.own_beat();
         for (peer, _) in self.peers.all() {
-            out.push(Output::Send(peer, FleetMsg::Beat(beat.clone())));
+            self.send_beat(now, peer, out);
         }
     }
 
-    pub(crate) fn send_beat(&mut self, to: InstanceId, out: &mut Vec<Output>) {
-        let beat = self.own_beat();
+    pub(crate) fn send_beat(&self, now: Time, to: InstanceId, out: &mut Vec<Output>) {
+        let beat = self.beat_for(now, to);
         out.push(Output::Send(to, FleetMsg::Beat(beat)));
     }
 
--- a/crates/celerywinch_member/src/member.rs
+++ b/crates/celerywinch_member/src/member.rs
@@ -5,7 +5,7 @@
 
 use celerywinch_domains::{Change, Domains, Me, Peers};
 use celerywinch_origin::{CallerId, Input as OriginInput, JobNote, NewJob, Origin};
-use celerywinch_pool::{Answer, Call, CallKey, Input as PoolInput, Note, Pool, PoolConfig};
+use celerywinch_pool::{Answer, Call, CallKey, Grant, Input as PoolInput, Note, Pool, PoolConfig};
 use celerywinch_types::{
     Beat, DataCentreId, FleetMsg, Holding, InstanceId, JobEnd, Learned, Part, Process, Stage, Time,
     WallMs, WorkMsg, WorkerNote,
@@ -106,7 +106,7 @@
     alive: BTreeSet<InstanceId>,
     pub(crate) domains: Domains,
     pub(crate) pool: Pool,
-    origin: Origin,
+    pub(crate) origin: Origin,
     pub(crate) stage: Stage,
     pub(crate) version: u64,
     started: Time,
@@ -135,11 +135,13 @@
             dc: config.dc,
             stage,
         };
+        let mut pool = Pool::new(config.pool);
+        pool.trust(me.instance, Grant::without_end(config.me.incarnation));
         Self {
             peers: Peers::default(),
             alive: BTreeSet::new(),
             domains: Domains::new(now, wall, me, config.dcs.clone()),
-            pool: Pool::new(config.pool),
+            pool,
             origin: Origin::new(config.dc),
             stage,
             version: 0,
@@ -282,6 +284,7 @@
         let holdings = held(&beat);
         self.domains.observe(beat.fence);
         let window = self.window(&beat);
+        let echo = beat.echo;
         if !self.peers.heard(now, from, beat, window) {
             return;
         }
@@ -291,11 +294,13 @@
         if self.alive.insert(from.instance) {
             self.found(now, from.instance, out);
         }
-        // A hand-over is taken up at once, and not with the next tick.
+        self.take_echo(now, from, echo, out);
+        // A hand-over is taken up at once, and not with the next tick. The new dispatcher is told first
+        // that it is heard, or it could not start what is handed to it.
         if held_before.is_none_or(|held| held != holdings) {
+            self.send_beat(now, from.instance, out);
             self.compare_domains(now, out);
             self.update_holders(now, out);
-            self.send_beat(from.instance, out);
         }
     }
 
@@ -327,6 +332,7 @@
 
     fn found(&mut self, now: Time, peer: InstanceId, out: &mut Vec<Output>) {
         out.push(Output::Heard(peer));
+        self.send_beat(now, peer, out);
         self.pool_input(now, PoolInput::AskOrigin(peer), out);
     }
 
@@ -398,7 +404,10 @@
         }
         let from = from.instance;
         match msg {
-            WorkMsg::Submit(_) | WorkMsg::Cancel(_) | WorkMsg::Drop(_) | WorkMsg::Named { .. } => {
+            WorkMsg::Submit(_)
+            | WorkMsg::Cancel { .. }
+            | WorkMsg::Drop { .. }
+            | WorkMsg::Named { .. } => {
                 self.pool_input(now, PoolInput::Work(from, msg), out);
             }
             WorkMsg::Ended(_) | WorkMsg::Resync(_) => {
@@ -416,7 +425,7 @@
         from == self.config.me || alive
     }
 
-    fn pool_input(&mut self, now: Time, input: PoolInput, out: &mut Vec<Output>) {
+    pub(crate) fn pool_input(&mut self, now: Time, input: PoolInput, out: &mut Vec<Output>) {
         let mut outputs = Vec::new();
         self.pool.handle(now, input, &mut outputs);
         for output in outputs {
--- a/crates/celerywinch_member/tests/idle.rs
+++ b/crates/celerywinch_member/tests/idle.rs
@@ -28,6 +28,8 @@
         fence: Fence(0),
         version: 1,
         shards: 1,
+        sent: Time(0),
+        echo: None,
     }
 }
 
--- a/crates/celerywinch_origin/src/job.rs
+++ b/crates/celerywinch_origin/src/job.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 
 use celerywinch_types::{
-    Domain, Doubt, InstanceId, JobId, JobPlan, Queue, RunNumber, StepOrder, TaskOrder, Time,
+    Domain, Doubt, InstanceId, JobId, JobPlan, Queue, RunNumber, Session, StepOrder, TaskOrder,
+    Time,
 };
 
 use crate::CallerId;
@@ -152,6 +153,7 @@
         let plan = &self.plan.steps[usize::from(step)];
         let age = now.since(self.arrived).as_millis();
         StepOrder {
+            session: Session::default(),
             job: self.id,
             step,
             spec: self.plan.spec.clone(),
--- a/crates/celerywinch_origin/src/lost.rs
+++ b/crates/celerywinch_origin/src/lost.rs
@@ -32,9 +32,9 @@
         }
     }
 
-    pub(crate) fn tell(self, out: &mut Vec<Output>) {
+    pub(crate) fn tell(self, last: u32, out: &mut Vec<Output>) {
         for (at, tasks) in self.tasks {
-            out.push(Output::Send(at, WorkMsg::Drop(tasks)));
+            out.push(Output::Send(at, WorkMsg::Drop { tasks, last }));
         }
     }
 }
@@ -43,6 +43,7 @@
     /// What a dispatcher has is named to it again, for messages either way may be lost. It takes
     /// only what it does not know.
     pub(crate) fn hand_in_again(&mut self, now: Time, peer: InstanceId, out: &mut Vec<Output>) {
+        let session = self.session(peer);
         for job in self.jobs.values_mut() {
             let mut steps: Vec<u16> = Vec::new();
             for ((step, _), task) in &job.tasks {
@@ -61,7 +62,8 @@
                     task.order(*index, Doubt::Open)
                 });
                 let orders = orders.collect();
-                let order = job.order(now, step, orders);
+                let mut order = job.order(now, step, orders);
+                order.session = session;
                 out.push(Output::Send(peer, WorkMsg::Submit(order)));
             }
         }
@@ -86,6 +88,7 @@
     /// What a lost dispatcher had may go on running, and goes to its successor.
     pub(crate) fn peer_lost(&mut self, now: Time, peer: InstanceId, out: &mut Vec<Output>) {
         self.holders.retain(|holder| holder.instance != peer);
+        self.sessions.entry(peer).or_default().0 += 1;
         let trace = Trace {
             domains: self.held.get(&peer).cloned().unwrap_or_default(),
             doubt: Doubt::Open,
@@ -99,6 +102,7 @@
                     && at == peer
                 {
                     task.place = Place::Unsure(trace.clone());
+                    task.run = task.run.past_lost();
                     lost = true;
                 }
             }
@@ -145,7 +149,7 @@
                 left.take(trace, id, step, *index);
             }
         }
-        left.tell(out);
+        left.tell(self.hands, out);
     }
 
     /// A task that can no longer be running is handed in like a new one.
@@ -159,9 +163,10 @@
                 && now.since(trace.since) >= SURELY_ENDED
             {
                 left.take(trace, id, step, *index);
+                task.run = task.run.past_lost();
                 task.place = Place::Todo;
             }
         }
-        left.tell(out);
+        left.tell(self.hands, out);
     }
 }
--- a/crates/celerywinch_origin/src/origin.rs
+++ b/crates/celerywinch_origin/src/origin.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use celerywinch_types::{
-    DataCentreId, Domain, Doubt, InstanceId, JobEnd, JobId, JobPlan, Queue, RunNumber, TaskEnd,
-    TaskNews, Time, WorkMsg, domain, identifier,
+    DataCentreId, Domain, Doubt, InstanceId, JobEnd, JobId, JobPlan, Queue, RunNumber, Session,
+    TaskEnd, TaskNews, Time, WorkMsg, domain, identifier,
 };
 
 use crate::choice::{Choice, Wanted, choose};
@@ -91,6 +91,8 @@
     /// How often anything was handed in. A job that comes again gets numbers of its own, or what was
     /// told of the first one would be taken for an answer.
     pub(crate) hands: u32,
+    /// How often each dispatcher was taken for lost.
+    pub(crate) sessions: BTreeMap<InstanceId, Session>,
 }
 
 impl Origin {
@@ -106,9 +108,16 @@
             open: BTreeSet::new(),
             alone: None,
             hands: 0,
+            sessions: BTreeMap::new(),
         }
     }
 
+    /// The session of a dispatcher: what it was handed under an earlier one may be elsewhere.
+    #[must_use]
+    pub fn session(&self, dispatcher: InstanceId) -> Session {
+        self.sessions.get(&dispatcher).copied().unwrap_or_default()
+    }
+
     /// How many jobs are open.
     #[must_use]
     pub fn open_jobs(&self) -> usize {
@@ -192,7 +201,11 @@
         self.open.remove(&id);
         let job = self.jobs.remove(&id)?;
         for dispatcher in job.dispatchers() {
-            out.push(Output::Send(dispatcher, WorkMsg::Cancel(id)));
+            let cancel = WorkMsg::Cancel {
+                job: id,
+                last: self.hands,
+            };
+            out.push(Output::Send(dispatcher, cancel));
         }
         Some(job)
     }
@@ -225,7 +238,10 @@
                 out.push(Output::Send(from, WorkMsg::Named { ask, unsure }));
             }
             // For dispatchers, not for origins.
-            WorkMsg::Submit(_) | WorkMsg::Cancel(_) | WorkMsg::Drop(_) | WorkMsg::Named { .. } => {}
+            WorkMsg::Submit(_)
+            | WorkMsg::Cancel { .. }
+            | WorkMsg::Drop { .. }
+            | WorkMsg::Named { .. } => {}
         }
     }
 
@@ -254,6 +270,9 @@
                 self.finish_if_done(now, id.job, out);
             }
             TaskEnd::Failed => self.answer(now, id.job, JobEnd::Failed, out),
+            TaskEnd::Superseded => self.answer(now, id.job, JobEnd::Unsure, out),
+            // Refused by one that does not know all: something of the job may have run elsewhere.
+            TaskEnd::Refused(_) if job.doubtful => self.answer(now, id.job, JobEnd::Unsure, out),
             TaskEnd::Refused(later) => self.answer(now, id.job, JobEnd::Refused(later), out),
             TaskEnd::Full => {
                 task.place = Place::Todo;
@@ -272,14 +291,14 @@
             }
             TaskEnd::Doubtful => {
                 job.doubtful = true;
-                // What was handed in without doubt was handed in again, as messages may be lost.
-                let lost = Trace {
-                    domains: self.held.get(&from).cloned().unwrap_or_default(),
-                    doubt: Doubt::Open,
-                    since: now,
-                    at: None,
-                };
-                task.place = Place::Unsure(trace.unwrap_or(lost));
+                let again = task.hand != task.first;
+                let as_it_came = trace.clone().filter(|_| !again);
+                let reach = self.held.get(&from).cloned().unwrap_or_default();
+                let trace = as_it_came.unwrap_or_else(|| {
+                    task.run = task.run.past_lost();
+                    named_again(now, &reach, trace.as_ref())
+                });
+                task.place = Place::Unsure(trace);
                 self.wait_for_holder(id.job, from);
             }
         }
@@ -435,7 +454,7 @@
         if orders.is_empty() {
             return;
         }
-        left.tell(out);
+        left.tell(self.hands, out);
         let count = orders.len();
         out.push(Output::Note(JobNote::HandedIn {
             job: id,
@@ -448,7 +467,9 @@
                 .count(),
             free: holder.load.free,
         }));
+        let session = self.sessions.get(&holder.instance);
         let mut order = job.order(now, step, orders);
+        order.session = session.copied().unwrap_or_default();
         order.fresh = fresh;
         order.pass = choice.pass;
         out.push(Output::Send(holder.instance, WorkMsg::Submit(order)));
@@ -472,3 +493,16 @@
         at: None,
     }
 }
+
+/// A dispatcher has given a task back that was named to it again, as messages may be lost: it may have started
+/// it after the first time, and have told so in what was lost. To take it for as sure as it came
+/// would let its next dispatcher find an end before that run, and start it a second time.
+fn named_again(now: Time, reach: &BTreeSet<Domain>, came: Option<&Trace>) -> Trace {
+    let before = came.iter().flat_map(|trace| trace.domains.iter());
+    Trace {
+        domains: Arc::new(before.chain(reach).copied().collect()),
+        doubt: Doubt::Open,
+        since: now,
+        at: None,
+    }
+}
--- a/crates/celerywinch_pool/src/job.rs
+++ b/crates/celerywinch_pool/src/job.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use celerywinch_types::{Doubt, InstanceId, RunNumber, StepOrder, TaskId, Time};
+use celerywinch_types::{Doubt, InstanceId, RunNumber, Session, StepOrder, TaskId, Time};
 use slotmap::new_key_type;
 
 use crate::run::RunKey;
@@ -36,6 +36,8 @@
     pub(crate) doubt: Doubt,
     /// The last time that it was handed in.
     pub(crate) hand: u32,
+    /// The session in which its origin handed it in; none since another origin has the job.
+    pub(crate) session: Option<Session>,
     /// Its origin was asked whether it is wanted, and has not named it yet.
     pub(crate) unnamed: bool,
     /// The worker that failed it last.
@@ -47,6 +49,8 @@
 pub(crate) struct Batch {
     pub(crate) order: StepOrder,
     pub(crate) origin: InstanceId,
+    /// When the job arrived at that.
+    pub(crate) arrived: Time,
     /// The end of its latency objective.
     pub(crate) due: Time,
     /// How long a task should take on a usual worker.
--- a/crates/celerywinch_pool/src/leases.rs
+++ b/crates/celerywinch_pool/src/leases.rs
@@ -31,11 +31,13 @@
             return;
         }
         let own = worker.grip == Grip::Held && !worker.runs.is_empty();
+        let sure = worker.silent == 0 && worker.aliens == 0 && !self.has_suspended(now, worker);
         // A look that may get no answer extends no lease: the work of a silent worker could not be
         // started elsewhere as long as it is looked at. And as a lease holds for all that runs on a
         // worker, none is extended while something runs there that its own dispatcher, on the other
-        // side of a cut, believes to end with the lease it gave.
-        let deadline = if own && worker.silent == 0 && worker.aliens == 0 {
+        // side of a cut, believes to end with the lease it gave; nor while a task runs there whose origin may
+        // have it done elsewhere.
+        let deadline = if own && sure {
             worker.deadline(now, self.config.lease)
         } else {
             None
--- a/crates/celerywinch_pool/src/lib.rs
+++ b/crates/celerywinch_pool/src/lib.rs
@@ -13,6 +13,7 @@
 mod admission;
 mod call;
 mod config;
+mod grants;
 mod inflow;
 mod job;
 mod leases;
@@ -31,5 +32,6 @@
 
 pub use call::{Answer, Call, CallKey, EndedRow, How, Order, Reject, RunningRow};
 pub use config::{CLOCK_ERROR, PoolConfig};
+pub use grants::Grant;
 pub use note::Note;
 pub use pool::{Input, Output, Pool};
--- a/crates/celerywinch_pool/src/note.rs
+++ b/crates/celerywinch_pool/src/note.rs
@@ -1,6 +1,6 @@
 //! Decisions worth a line in the logs, with what decided them.
 
-use celerywinch_types::{Domain, InstanceId, JobId, RunNumber, TaskId};
+use celerywinch_types::{Domain, InstanceId, JobId, RunNumber, Session, TaskId};
 use serde::Serialize;
 
 /// A decision of the dispatcher.
@@ -31,6 +31,20 @@
         /// How many steps of jobs wait here.
         queued: usize,
     },
+    /// A hand-in was not taken: it was held up on its way, and its tasks may be elsewhere.
+    HeldUp {
+        /// The origin.
+        origin: InstanceId,
+        /// The session in which it was sent.
+        session: Session,
+        /// Its present session; none if it was not heard yet.
+        present: Option<Session>,
+    },
+    /// What an origin had here was dropped: it is not known to count this dispatcher as alive.
+    GrantOver {
+        /// The origin.
+        origin: InstanceId,
+    },
     /// A job was refused: it could not end in time.
     Refused {
         /// The job.
@@ -133,7 +147,9 @@
             | Self::Passed { .. }
             | Self::WorkerHeld { .. } => true,
             Self::RunEnded { how, .. } => *how == "done",
-            Self::Refused { .. }
+            Self::HeldUp { .. }
+            | Self::GrantOver { .. }
+            | Self::Refused { .. }
             | Self::Moved { .. }
             | Self::WorkerSilent { .. }
             | Self::WorkerAside { .. }
--- a/crates/celerywinch_pool/src/origins.rs
+++ b/crates/celerywinch_pool/src/origins.rs
@@ -4,7 +4,7 @@
 
 use celerywinch_types::{InstanceId, JobId, TaskId, Time, WorkMsg};
 
-use crate::job::{BatchKey, TaskState};
+use crate::job::{Batch, BatchKey, TaskState};
 use crate::pool::{Output, Pool};
 use crate::told::Told;
 
@@ -45,20 +45,26 @@
             left.extend(unnamed.map(|(index, _)| batch.id(*index)));
         }
         left.retain(|task| !unsure.contains(task));
-        self.drop_tasks(now, origin, &left, out);
+        self.drop_tasks(now, origin, &left, u32::MAX, out);
     }
 
-    /// These tasks are not wanted here any more; their runs are stopped.
+    /// These tasks are not wanted here any more, unless they were handed in after the `last` time that
+    /// their origin knew of as it said so; their runs are stopped.
     pub(crate) fn drop_tasks(
         &mut self,
         now: Time,
         origin: InstanceId,
         tasks: &[TaskId],
+        last: u32,
         out: &mut Vec<Output>,
     ) {
         for task in tasks {
             let known = self.jobs.get(&(task.job, task.step)).copied();
-            if let Some(key) = known.filter(|key| self.batches[*key].origin == origin) {
+            let Some(key) = known.filter(|key| self.batches[*key].origin == origin) else {
+                continue;
+            };
+            let here = self.batches[key].tasks.get(&task.index);
+            if here.is_some_and(|here| here.hand <= last) {
                 self.drop_task(now, key, task.index, out);
             }
         }
@@ -80,14 +86,15 @@
         now: Time,
         from: InstanceId,
         job: JobId,
+        last: u32,
         out: &mut Vec<Output>,
     ) {
-        let keys: Vec<_> = self
-            .batches
-            .iter()
-            .filter(|(_, batch)| batch.order.job == job && batch.origin == from)
-            .map(|(key, _)| key)
-            .collect();
+        let meant = |batch: &Batch| {
+            let before = batch.tasks.values().all(|task| task.hand <= last);
+            batch.order.job == job && batch.origin == from && before
+        };
+        let batches = self.batches.iter().filter(|(_, batch)| meant(batch));
+        let keys: Vec<_> = batches.map(|(key, _)| key).collect();
         for key in keys {
             self.drop_batch(now, key, out);
         }
--- a/crates/celerywinch_pool/src/place.rs
+++ b/crates/celerywinch_pool/src/place.rs
@@ -42,12 +42,12 @@
     /// Starts the waiting tasks of a batch; false if there was no room for one.
     fn place_batch(&mut self, now: Time, key: BatchKey, out: &mut Vec<Output>) -> bool {
         self.unqueue(key);
-        let waiting: Vec<u16> = self.batches[key]
-            .tasks
-            .iter()
-            .filter(|(_, task)| task.state == TaskState::Waiting)
-            .map(|(index, _)| *index)
-            .collect();
+        let batch = &self.batches[key];
+        let ready = |task: &Task| {
+            task.state == TaskState::Waiting && self.may_start(now, batch.origin, task)
+        };
+        let tasks = batch.tasks.iter().filter(|(_, task)| ready(task));
+        let waiting: Vec<u16> = tasks.map(|(index, _)| *index).collect();
         let mut all = true;
         for index in waiting {
             let Some(worker) = self.choose(now, &self.batches[key], index) else {
@@ -66,8 +66,9 @@
     fn choose(&self, now: Time, batch: &Batch, index: u16) -> Option<WorkerKey> {
         let task = &batch.tasks[&index];
         let workers = self.workers.iter();
-        let fitting =
-            workers.filter(|(key, worker)| worker.takes(now) && self.suits(batch, *key, worker));
+        let fitting = workers.filter(|(key, worker)| {
+            worker.takes(now) && self.suits(batch, *key, worker) && !self.has_suspended(now, worker)
+        });
         let cost = |key: WorkerKey, worker: &Worker| cost(batch, task, key, worker);
         fitting
             .min_by(|a, b| cost(a.0, a.1).total_cmp(&cost(b.0, b.1)))
@@ -103,6 +104,11 @@
         out: &mut Vec<Output>,
     ) -> bool {
         let lease = self.config.lease;
+        let granted = {
+            let batch = &self.batches[key];
+            self.may_start(now, batch.origin, &batch.tasks[&index])
+        };
+        assert!(granted, "a task is started only under its origin's grant");
         let worker = &mut self.workers[worker_key];
         let Some(deadline) = worker.deadline(now, lease) else {
             return false;
--- a/crates/celerywinch_pool/src/pool.rs
+++ b/crates/celerywinch_pool/src/pool.rs
@@ -10,6 +10,7 @@
 use slotmap::SlotMap;
 
 use crate::call::{Answer, Call, CallKey, Order, Pending};
+use crate::grants::{Grant, Grants};
 use crate::inflow::Inflow;
 use crate::job::{Batch, BatchKey, TaskState};
 use crate::queue::Queue;
@@ -31,6 +32,8 @@
     Workers(Vec<WorkerNote>),
     /// A message of an origin of jobs.
     Work(InstanceId, WorkMsg),
+    /// An origin counts this dispatcher as alive.
+    Granted(InstanceId, Grant),
     /// Messages from an origin may be lost: it is asked what it wants.
     AskOrigin(InstanceId),
     /// An origin is lost: its callers' connections broke, or it cannot be told of ends.
@@ -75,6 +78,7 @@
     pub(crate) times: Times,
     pub(crate) inflow: Inflow,
     pub(crate) takeover: Takeover,
+    pub(crate) grants: Grants,
     /// What origins were told of tasks that are here no more.
     pub(crate) told: BTreeMap<TaskId, Told>,
     pub(crate) news: BTreeMap<InstanceId, Vec<TaskNews>>,
@@ -106,6 +110,7 @@
             times: Times::default(),
             inflow: Inflow::default(),
             takeover: Takeover::default(),
+            grants: Grants::default(),
             told: BTreeMap::new(),
             news: BTreeMap::new(),
             touched: Vec::new(),
@@ -188,6 +193,7 @@
                 }
             }
             Input::Work(from, msg) => self.work(now, from, msg, out),
+            Input::Granted(origin, grant) => self.granted(now, origin, grant, out),
             Input::AskOrigin(origin) => self.ask_origin(origin, out),
             Input::OriginLost(origin) => self.drop_origin(now, origin, out),
             Input::Answered(key, answer) => self.answered(now, key, answer, out),
@@ -204,6 +210,7 @@
 
     fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
         self.tend_workers(now, out);
+        self.tend_grants(now, out);
         self.tend_takeover(now, out);
         self.tend_runs(now, out);
         self.shed(now, out);
@@ -213,8 +220,8 @@
     fn work(&mut self, now: Time, from: InstanceId, msg: WorkMsg, out: &mut Vec<Output>) {
         match msg {
             WorkMsg::Submit(order) => self.submit(now, from, order, out),
-            WorkMsg::Cancel(job) => self.cancel(now, from, job, out),
-            WorkMsg::Drop(tasks) => self.drop_tasks(now, from, &tasks, out),
+            WorkMsg::Cancel { job, last } => self.cancel(now, from, job, last, out),
+            WorkMsg::Drop { tasks, last } => self.drop_tasks(now, from, &tasks, last, out),
             WorkMsg::Named { ask, unsure } => self.sweep(now, from, ask, &unsure, out),
             // For origins, not for dispatchers.
             WorkMsg::Ended(_) | WorkMsg::Resync(_) => {}
--- a/crates/celerywinch_pool/src/results.rs
+++ b/crates/celerywinch_pool/src/results.rs
@@ -33,10 +33,20 @@
                     self.read_clock(now, worker, clock);
                 }
             }
-            Pending::Look(worker, kind) => self.look_answered(now, worker, kind, answer, out),
+            // Of a worker that was given up meanwhile the lists tell of another dispatcher's work, and to
+            // take note of ends would hide them when the worker is taken over again.
+            Pending::Look(worker, kind) if self.awaits(worker, key) => {
+                self.look_answered(now, worker, kind, answer, out);
+            }
+            Pending::Look(..) => {}
         }
     }
 
+    fn awaits(&self, worker: WorkerKey, look: CallKey) -> bool {
+        let worker = self.workers.get(worker);
+        worker.is_some_and(|worker| worker.look == Some(look))
+    }
+
     fn read_clock(&mut self, now: Time, worker: WorkerKey, clock: WorkerClock) {
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.read_clock(now, clock);
@@ -225,7 +235,7 @@
             self.taken_over(now, key, running, out);
             return;
         }
-        self.check_aliens(key, running);
+        self.check_aliens(now, key, running);
         for run in self.workers[key].runs.clone() {
             self.compare(now, run, kind, running, out);
         }
--- a/crates/celerywinch_pool/src/submit.rs
+++ b/crates/celerywinch_pool/src/submit.rs
@@ -1,8 +1,11 @@
 //! Taking in what origins hand in.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
-use celerywinch_types::{Doubt, InstanceId, StepOrder, TaskEnd, TaskId, TaskNews, TaskOrder, Time};
+use celerywinch_types::{
+    Doubt, InstanceId, Session, StepOrder, TaskEnd, TaskId, TaskNews, TaskOrder, Time,
+};
 
 use crate::Note;
 use crate::job::{Batch, BatchKey, Task, TaskState};
@@ -17,6 +20,10 @@
         mut order: StepOrder,
         out: &mut Vec<Output>,
     ) {
+        if !self.is_current(from, order.session, out) {
+            return;
+        }
+        let session = order.session;
         let tasks = std::mem::take(&mut order.tasks);
         if self.held.is_empty() {
             self.give_back(from, &order, &tasks);
@@ -25,8 +32,9 @@
         let known = self.jobs.get(&(order.job, order.step)).copied();
         let key = match known {
             Some(key) => {
-                // Sent again, perhaps by another origin, to which its caller has turned.
-                self.batches[key].origin = from;
+                if !self.known_batch(now, key, from, &order) {
+                    return;
+                }
                 key
             }
             None => {
@@ -48,12 +56,58 @@
         };
         self.unqueue(key);
         for task in tasks {
-            self.add_task(now, key, task);
+            self.add_task(now, key, session, task);
         }
         self.requeue(key);
         self.touched.push(key);
     }
 
+    /// A step that is known was handed in again, perhaps by another origin. What that does not name may
+    /// be elsewhere. Something of the job may have run before, unless the order says that it is new.
+    ///
+    /// A caller that got no answer sends its job to another entry, while the first one may have it still and
+    /// names it again after each break of a link. If the last one that named it got its end, the other's
+    /// caller would wait until its deadline. So the origin that got the job last keeps it, and the
+    /// other one is told so; false if that is the one that hands it in.
+    fn known_batch(
+        &mut self,
+        now: Time,
+        key: BatchKey,
+        from: InstanceId,
+        order: &StepOrder,
+    ) -> bool {
+        let batch = &mut self.batches[key];
+        if batch.origin != from {
+            let arrived = now - Duration::from_millis(order.age.into());
+            if (arrived, from) < (batch.arrived, batch.origin) {
+                self.supersede(from, key);
+                return false;
+            }
+            let earlier = std::mem::replace(&mut batch.origin, from);
+            batch.arrived = arrived;
+            batch
+                .tasks
+                .values_mut()
+                .for_each(|task| task.session = None);
+            self.supersede(earlier, key);
+        }
+        let batch = &mut self.batches[key];
+        let earlier = |task: &Task| task.session != Some(order.session);
+        batch.begun |= !order.fresh && batch.tasks.values().any(earlier);
+        true
+    }
+
+    /// Another origin has got the job of this batch.
+    fn supersede(&mut self, origin: InstanceId, key: BatchKey) {
+        let batch = &self.batches[key];
+        let news = batch.tasks.keys().map(|index| TaskNews {
+            task: batch.id(*index),
+            hand: 0,
+            end: TaskEnd::Superseded,
+        });
+        self.news.entry(origin).or_default().extend(news);
+    }
+
     /// Gives back what found no room of a batch that came in just now, for another dispatcher to start.
     pub(crate) fn pass_on(&mut self, now: Time, key: BatchKey, out: &mut Vec<Output>) {
         let Some(batch) = self.batches.get(key) else {
@@ -108,13 +162,14 @@
     }
 
     pub(crate) fn new_batch(&self, now: Time, origin: InstanceId, order: StepOrder) -> Batch {
-        let ms = std::time::Duration::from_millis;
+        let ms = Duration::from_millis;
         let expected = self.times.expected(&order.queue, order.estimate);
         let chain = self.times.expected(&order.queue, order.chain);
         let objective = chain.mul_f64(f64::from(order.slack) / 1e3) + ms(order.target.into());
         let age = ms(order.age.into());
         Batch {
             origin,
+            arrived: now - age,
             due: now + objective - age,
             expected,
             tasks: BTreeMap::new(),
@@ -123,11 +178,12 @@
         }
     }
 
-    pub(crate) fn add_task(&mut self, now: Time, key: BatchKey, order: TaskOrder) {
+    fn add_task(&mut self, now: Time, key: BatchKey, session: Session, order: TaskOrder) {
         let batch = &mut self.batches[key];
         let id = batch.id(order.index);
         if let Some(task) = batch.tasks.get_mut(&order.index) {
             task.hand = order.hand;
+            task.session = Some(session);
             task.unnamed = false;
             return;
         }
@@ -147,6 +203,7 @@
             run: order.run,
             doubt: order.doubt,
             hand: order.hand,
+            session: Some(session),
             unnamed: false,
             avoid: None,
         };
--- a/crates/celerywinch_pool/src/takeover.rs
+++ b/crates/celerywinch_pool/src/takeover.rs
@@ -1,6 +1,6 @@
 //! Taking workers over from another dispatcher, and giving them up.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use celerywinch_types::{Domain, Doubt, Fence, RunNumber, TaskEnd, TaskId, Time};
 
@@ -15,11 +15,6 @@
 /// How long ends found at a takeover wait for their origins.
 const KEEP_ENDS: std::time::Duration = std::time::Duration::from_secs(3);
 
-/// A task that leaves limbo gets a run number this much higher. The lost dispatcher may have used
-/// some that its origin did not hear of, and an end found of one of those would be taken for the end
-/// of a later run with the same number. No task is started so often within a second.
-const RUN_GAP: u64 = 1_000;
-
 /// A run that another dispatcher started.
 #[derive(Clone, Copy, Debug)]
 struct Alien {
@@ -196,7 +191,10 @@
     }
 
     pub(crate) fn alien_ended(&mut self, now: Time, key: WorkerKey, row: &EndedRow) {
-        if self.takeover.aliens.remove(&row.task).is_some() {
+        // An earlier run of the task may have ended on another worker: this one goes on.
+        let this = |alien: &Alien| alien.worker == key && alien.run == row.run;
+        if self.takeover.aliens.get(&row.task).is_some_and(this) {
+            self.takeover.aliens.remove(&row.task);
             let worker = &mut self.workers[key];
             worker.aliens = worker.aliens.saturating_sub(1);
         }
@@ -220,11 +218,22 @@
         }
     }
 
-    /// Runs that are listed no more have ended, or belong to another list by now.
-    pub(crate) fn check_aliens(&mut self, key: WorkerKey, running: &[RunningRow]) {
+    /// Runs that are listed no more have ended, or belong to another list by now. What is listed and is
+    /// not known was started late, or by another dispatcher, and nobody waits for it: it is stopped.
+    pub(crate) fn check_aliens(&mut self, now: Time, key: WorkerKey, running: &[RunningRow]) {
         let listed = |task: &TaskId| running.iter().any(|row| row.task == *task);
         let aliens = &mut self.takeover.aliens;
         aliens.retain(|task, alien| alien.worker != key || listed(task));
+        let own = self.workers[key].runs.iter();
+        let own: BTreeSet<_> = own.map(|run| self.runs[*run].task).collect();
+        for row in running.iter().filter(|row| !own.contains(&row.task)) {
+            aliens.entry(row.task).or_insert(Alien {
+                worker: key,
+                run: row.run,
+                found: now,
+                stopped: false,
+            });
+        }
         let left = aliens.values().filter(|alien| alien.worker == key).count();
         self.workers[key].aliens = left;
     }
@@ -264,7 +273,7 @@
             let due: Vec<u16> = tasks.map(|(index, _)| *index).collect();
             for index in due {
                 if let Some(task) = self.batches[key].tasks.get_mut(&index) {
-                    task.run = RunNumber(task.run.0 + RUN_GAP);
+                    task.run = task.run.past_unheard();
                 }
                 self.set_task(key, index, TaskState::Waiting);
             }
--- a/crates/celerywinch_pool/src/told.rs
+++ b/crates/celerywinch_pool/src/told.rs
@@ -29,7 +29,10 @@
         match self.news.end {
             TaskEnd::Done | TaskEnd::Failed => order.doubt != Doubt::None,
             TaskEnd::Full => self.origin == origin && self.news.hand >= order.first,
-            TaskEnd::Returned { .. } | TaskEnd::Doubtful | TaskEnd::Refused(_) => false,
+            TaskEnd::Returned { .. }
+            | TaskEnd::Doubtful
+            | TaskEnd::Refused(_)
+            | TaskEnd::Superseded => false,
         }
     }
 }
--- /dev/null
+++ b/crates/celerywinch_pool/tests/grants.rs
@@ -0,0 +1,185 @@
+//! Tasks that their origin may have done elsewhere.
+
+mod rig;
+
+use std::time::Duration;
+
+use celerywinch_pool::{Answer, Grant, How, Input, Order, Reject};
+use celerywinch_types::{Doubt, Incarnation, InstanceId, JobId, Session, TaskEnd, WorkMsg};
+use rig::{ORIGIN, Rig, clock, ended, is_look, is_start, is_stop, lists, row, step};
+use rstest::rstest;
+
+const REMOTE: InstanceId = InstanceId(5);
+
+/// A dispatcher with one worker that an origin in another process hands tasks to.
+struct Remote {
+    rig: Rig,
+}
+
+impl Remote {
+    fn new() -> Self {
+        let mut remote = Self {
+            rig: Rig::new(Vec::new(), Vec::new()),
+        };
+        remote.grant(0, 500);
+        remote
+    }
+
+    /// A heartbeat tells that the origin counts the dispatcher as alive for so many ms more.
+    fn grant(&mut self, session: u32, ms: u64) {
+        let until = self.rig.now + Duration::from_millis(ms);
+        let grant = Grant {
+            life: Incarnation(1),
+            session: Session(session),
+            until,
+        };
+        self.rig.take(Input::Granted(REMOTE, grant));
+    }
+
+    fn hand_in(&mut self, session: u32, doubt: Doubt) {
+        let mut order = step(doubt, 0);
+        order.session = Session(session);
+        // Else it would be refused while it waits.
+        order.fresh = false;
+        self.rig.take(Input::Work(REMOTE, WorkMsg::Submit(order)));
+    }
+
+    fn starts(&self) -> usize {
+        self.rig.count(is_start)
+    }
+
+    /// Whether the last look extends the lease.
+    fn extends(&self) -> bool {
+        let look = self.rig.last(is_look);
+        matches!(
+            look.order,
+            Order::Look {
+                deadline: Some(_),
+                ..
+            }
+        )
+    }
+}
+
+/// What arrived before a hand-in.
+struct Case {
+    session: u32,
+    /// For how long the last heartbeat granted the right to start, in ms.
+    granted: u64,
+    /// The session of the hand-in.
+    of: u32,
+    starts: usize,
+}
+
+/// A task runs twice: its hand-in is held up in a cut, its origin takes the dispatcher for lost and has the
+/// task done elsewhere; seconds later, when the cut has healed, the hand-in arrives and is obeyed.
+#[rstest]
+#[case::as_usual(Case { session: 0, granted: 500, of: 0, starts: 1 })]
+#[case::of_an_earlier_session(Case { session: 1, granted: 500, of: 0, starts: 0 })]
+#[case::of_a_session_not_heard_of(Case { session: 0, granted: 500, of: 1, starts: 0 })]
+#[case::with_heartbeats_held_up_like_it(Case { session: 0, granted: 0, of: 0, starts: 0 })]
+fn hand_in_is_obeyed_under_its_grant(#[case] case: Case) {
+    let mut remote = Remote {
+        rig: Rig::new(Vec::new(), Vec::new()),
+    };
+    remote.grant(case.session, case.granted);
+    remote.hand_in(case.of, Doubt::None);
+    assert_eq!(remote.starts(), case.starts);
+}
+
+/// A task runs twice: it waits for room at a dispatcher that hears nothing of its origin any more, which
+/// has it done elsewhere; then a run ends, and the room goes to the task. A grant that was renewed
+/// meanwhile lets it start, unless the origin had taken the dispatcher for lost before.
+#[rstest]
+#[case::over(None, 0)]
+#[case::renewed(Some(0), 1)]
+#[case::renewed_in_another_session(Some(1), 0)]
+fn waiting_task_is_started_under_its_grant(#[case] renewed: Option<u32>, #[case] starts: usize) {
+    let mut remote = Remote::new();
+    // Two fill the worker.
+    for job in 0..2 {
+        let mut order = step(Doubt::None, 0);
+        order.job = JobId(job);
+        remote.rig.submit(order);
+    }
+    remote.hand_in(0, Doubt::None);
+    assert_eq!(remote.starts(), 2);
+    remote.rig.wait(400);
+    if let Some(session) = renewed {
+        remote.grant(session, 500);
+    }
+    remote.rig.wait(150);
+    let first = remote.rig.last(is_start);
+    let rejected = Answer::Rejected(Reject::Malformed, Some(clock()));
+    remote.rig.answer(&first, rejected);
+    assert_eq!(remote.starts(), 2 + starts);
+}
+
+/// A task runs twice: its origin waits for the end of the lease of a run, while the dispatcher, which
+/// does not know that it was given up, goes on extending it. Without a grant nothing extends a lease where the
+/// run is, and after 300 ms more the run is stopped.
+#[test]
+fn lease_is_not_extended_beside_a_task_without_a_grant() {
+    let mut remote = Remote::new();
+    remote.hand_in(0, Doubt::None);
+    let start = remote.rig.last(is_start);
+    remote.rig.answer(&start, Answer::Taken(clock()));
+    let look = remote.rig.last(is_look);
+    remote.rig.answer(&look, lists(vec![row(1)], Vec::new()));
+    assert!(remote.extends());
+    remote.rig.wait(510);
+    let look = remote.rig.last(is_look);
+    remote.rig.answer(&look, lists(vec![row(1)], Vec::new()));
+    assert!(!remote.extends());
+    assert_eq!(remote.rig.count(is_stop), 0);
+    remote.rig.wait(300);
+    assert_eq!(remote.rig.count(is_stop), 1);
+}
+
+/// A caller waits until its deadline: it sent its job to another entry, and the first one, which has it
+/// still, names it again after a break of its link; what becomes of the job is told to the first one
+/// alone. The entry that got the job last keeps it, and the other gives its caller a final answer.
+#[rstest]
+#[case::later(5, 300, REMOTE, ORIGIN)]
+#[case::earlier(300, 5, ORIGIN, REMOTE)]
+fn job_belongs_to_the_origin_that_got_it_last(
+    #[case] first_age: u32,
+    #[case] second_age: u32,
+    #[case] superseded: InstanceId,
+    #[case] keeps: InstanceId,
+) {
+    let mut remote = Remote::new();
+    for (from, age) in [(ORIGIN, first_age), (REMOTE, second_age)] {
+        let mut order = step(Doubt::None, 0);
+        order.age = age;
+        remote.rig.take(Input::Work(from, WorkMsg::Submit(order)));
+    }
+    let start = remote.rig.last(is_start);
+    remote.rig.answer(&start, Answer::Taken(clock()));
+    let look = remote.rig.last(is_look);
+    remote
+        .rig
+        .answer(&look, lists(Vec::new(), vec![ended(1, How::Done)]));
+    let news = remote.rig.news.iter().map(|(to, end)| (*to, *end));
+    let news: Vec<_> = news.collect();
+    assert_eq!(
+        news,
+        [(superseded, TaskEnd::Superseded), (keeps, TaskEnd::Done)]
+    );
+}
+
+/// A caller waits until its deadline: the dispatcher of its job was taken for lost and told to drop it, the job
+/// goes back to it after the cut, and then that message arrives, which was held up. It takes back only
+/// what was handed in before it was sent.
+#[rstest]
+#[case::cancelled(WorkMsg::Cancel { job: rig::JOB, last: 0 }, 0)]
+#[case::dropped(WorkMsg::Drop { tasks: vec![rig::task(0)], last: 0 }, 0)]
+#[case::cancelled_in_time(WorkMsg::Cancel { job: rig::JOB, last: 1 }, 1)]
+#[case::dropped_in_time(WorkMsg::Drop { tasks: vec![rig::task(0)], last: 1 }, 1)]
+fn message_that_was_held_up_takes_nothing_back(#[case] msg: WorkMsg, #[case] stops: usize) {
+    let mut remote = Remote::new();
+    remote.hand_in(0, Doubt::None);
+    remote.rig.take(Input::Work(REMOTE, msg));
+    remote.rig.take(Input::Tick);
+    assert_eq!((remote.starts(), remote.rig.count(is_stop)), (1, stops));
+}
--- a/crates/celerywinch_types/src/fleet.rs
+++ b/crates/celerywinch_types/src/fleet.rs
@@ -2,7 +2,17 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{DataCentreId, Fence, InstanceId, JobId, Room, RunNumber, TaskId, WorkerNote, domain};
+use crate::{
+    DataCentreId, Fence, Incarnation, InstanceId, JobId, Room, RunNumber, TaskId, Time, WorkerNote,
+    domain, identifier,
+};
+
+identifier! {
+    /// A span in which an origin counts a dispatcher as alive without a break. It rises each time that
+    /// the origin has taken the dispatcher for lost, and may have its tasks done elsewhere.
+    #[derive(Default)]
+    pub struct Session(pub u32);
+}
 
 domain! {
     /// What a process does.
@@ -54,6 +64,20 @@
         pub load: Load,
     }
 
+    /// What the sender of a heartbeat has last heard of its receiver.
+    ///
+    /// By this the receiver knows, on its own clock and however late the heartbeat arrives, until when
+    /// the sender surely counts it as alive.
+    #[derive(Copy)]
+    pub struct Echo {
+        /// The life of the receiver that was heard.
+        pub life: Incarnation,
+        /// When that life sent what was heard, by its own clock.
+        pub sent: Time,
+        /// The session of the receiver as dispatcher of the sender's jobs.
+        pub session: Session,
+    }
+
     /// A heartbeat.
     pub struct Beat {
         /// What the sender does.
@@ -70,6 +94,10 @@
         pub version: u64,
         /// In how many shards the workers are divided, as far as it knows; it never falls.
         pub shards: u8,
+        /// When it was sent, by the sender's clock; for the receiver to send back.
+        pub sent: Time,
+        /// What the sender has heard of the receiver; none if it does not count it as alive.
+        pub echo: Option<Echo>,
     }
 
     /// A process that the sender has heard of.
@@ -123,6 +151,9 @@
 
     /// Tasks of one step of a job.
     pub struct StepOrder {
+        /// The session of the dispatcher at the origin. Under an earlier one than the origin's
+        /// heartbeats tell the order was held up on its way, and its tasks may be elsewhere.
+        pub session: Session,
         /// The job.
         pub job: JobId,
         /// The step.
@@ -186,6 +217,8 @@
         Doubtful,
         /// Will not be served, and nothing of its job has run here; worth a try after so many ms.
         Refused(u32),
+        /// Its caller has sent the job again to another origin, which gets what becomes of it.
+        Superseded,
     }
 
     /// Between the origins of jobs and the dispatchers of data centres.
@@ -193,9 +226,20 @@
         /// Tasks to run.
         Submit(StepOrder),
         /// Nothing of the job is wanted any more.
-        Cancel(JobId),
+        Cancel {
+            /// The job.
+            job: JobId,
+            /// The origin's last hand-in so far. The message may be held up, and what was handed in later is
+            /// wanted.
+            last: u32,
+        },
         /// These tasks are not wanted here any more; their origin has them done elsewhere.
-        Drop(Vec<TaskId>),
+        Drop {
+            /// The tasks.
+            tasks: Vec<TaskId>,
+            /// As in `Cancel`.
+            last: u32,
+        },
         /// Ends of tasks.
         Ended(Vec<TaskNews>),
         /// What was sent before may be lost: hand in again what is open here. The number is
@@ -238,7 +282,7 @@
     pub fn gives_back(&self) -> bool {
         match self.end {
             TaskEnd::Full | TaskEnd::Returned { .. } | TaskEnd::Doubtful => true,
-            TaskEnd::Done | TaskEnd::Failed | TaskEnd::Refused(_) => false,
+            TaskEnd::Done | TaskEnd::Failed | TaskEnd::Refused(_) | TaskEnd::Superseded => false,
         }
     }
 }
--- a/crates/celerywinch_types/src/lib.rs
+++ b/crates/celerywinch_types/src/lib.rs
@@ -19,8 +19,8 @@
 
 pub use endpoint::{EndpointNote, EndpointState, KindName};
 pub use fleet::{
-    Beat, Contact, Domain, Doubt, FleetMsg, Holding, KeepMsg, Learned, LearnedQueue, Load, Part,
-    Stage, StepOrder, TaskEnd, TaskNews, TaskOrder, WorkMsg,
+    Beat, Contact, Domain, Doubt, Echo, FleetMsg, Holding, KeepMsg, Learned, LearnedQueue, Load,
+    Part, Session, Stage, StepOrder, TaskEnd, TaskNews, TaskOrder, WorkMsg,
 };
 pub use hash::{score, stable_hash};
 pub use id::{DataCentreId, Holder, Incarnation, InstanceId, Process};
--- a/crates/celerywinch_types/src/time.rs
+++ b/crates/celerywinch_types/src/time.rs
@@ -8,7 +8,8 @@
 identifier! {
     /// Microseconds on a monotonic clock whose origin is the start of the process.
     ///
-    /// Never sent to another process: deadlines travel as remaining time.
+    /// Means nothing to another process, which can only send it back ([`Echo`](crate::Echo)): deadlines
+    /// travel as remaining time.
     #[derive(Default)]
     pub struct Time(pub u64);
 
--- a/crates/celerywinch_types/src/work.rs
+++ b/crates/celerywinch_types/src/work.rs
@@ -139,3 +139,26 @@
         }
     }
 }
+
+/// How far a task's run number rises when its dispatcher starts it without knowing what an earlier one did.
+/// No task is started so often in the time that it waits before.
+const UNHEARD_RUNS: u64 = 1_000;
+/// The same when its origin has lost a dispatcher: that may have done so several times.
+const LOST_RUNS: u64 = 64 * UNHEARD_RUNS;
+
+impl RunNumber {
+    /// A number past all that an earlier dispatcher may have used without this one having heard of them.
+    /// An end found of one of those would else be taken for the end of a later run with the same
+    /// number, and the task be started again beside it.
+    #[must_use]
+    pub fn past_unheard(self) -> Self {
+        Self(self.0 + UNHEARD_RUNS)
+    }
+
+    /// A number past all that a lost dispatcher may have used, also after it has itself gone past what it had
+    /// not heard of.
+    #[must_use]
+    pub fn past_lost(self) -> Self {
+        Self(self.0 + LOST_RUNS)
+    }
+}
