--- a/crates/celerywinch/src/commands/soak.rs
+++ b/crates/celerywinch/src/commands/soak.rs
@@ -147,6 +147,7 @@
                 cpu: members::BRIEF_CPU,
                 burst: None,
             },
+            unanswered: None,
             faults: Some(members::FaultPlan {
                 every,
                 members: true,
--- a/crates/celerywinch_bench/src/members/mod.rs
+++ b/crates/celerywinch_bench/src/members/mod.rs
@@ -12,4 +12,5 @@
 pub use faults::FaultPlan;
 pub use history::{Violation, overlaps};
 pub use load::{BRIEF_CPU, ClassFigures, ClassPlan, LoadPlan, brief_classes};
+pub use workers::Unanswered;
 pub use world::{MembersOptions, MembersReport, run};
--- a/crates/celerywinch_bench/src/members/workers.rs
+++ b/crates/celerywinch_bench/src/members/workers.rs
@@ -14,6 +14,24 @@
 /// How long a new worker takes to announce itself.
 const ANNOUNCE: Duration = Duration::from_millis(300);
 
+/// A share of the orders to all workers that get no answer, and are carried out seconds later.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Unanswered {
+    /// From when, in ms.
+    pub from: u64,
+    /// Until when, in ms.
+    pub to: u64,
+    /// How many of the orders, 0 to 1.
+    pub share: f64,
+}
+
+impl Unanswered {
+    fn share_at(self, now: Time) -> Option<f64> {
+        let there = self.from * 1_000..self.to * 1_000;
+        there.contains(&now.0).then_some(self.share)
+    }
+}
+
 /// A worker and the path to it.
 #[derive(Debug)]
 pub(crate) struct WorkerHost {
@@ -89,7 +107,7 @@
             return;
         }
         let order = matches!(way.call.order, Order::Start { .. } | Order::Stop { .. });
-        if order && host.late > self.now && self.random.random_bool(0.5) {
+        if order && self.is_late(index) {
             let late = Duration::from_millis(self.random.random_range(2_000..6_000));
             self.at(self.now + late, Event::LateOrder(index, way));
             return;
@@ -107,6 +125,16 @@
         self.reply(index, &way, answer);
     }
 
+    /// Whether an order is to be carried out late.
+    fn is_late(&mut self, index: usize) -> bool {
+        if self.workers[index].late > self.now {
+            return self.random.random_bool(0.5);
+        }
+        let all = self.options.unanswered;
+        let share = all.and_then(|all| all.share_at(self.now));
+        share.is_some_and(|share| self.random.random_bool(share))
+    }
+
     /// The lease counts from the arrival of a look that then waits.
     fn extend(&mut self, index: usize, way: &OnWay) {
         let mut call = way.call.clone();
--- a/crates/celerywinch_bench/src/members/world.rs
+++ b/crates/celerywinch_bench/src/members/world.rs
@@ -18,7 +18,7 @@
 use super::faults::FaultPlan;
 use super::history::{Violation, done, overlaps};
 use super::load::{ClassFigures, LoadPlan};
-use super::workers::{OnWay, WorkerHost};
+use super::workers::{OnWay, Unanswered, WorkerHost};
 
 /// Between two ticks of a member.
 const TICK: Duration = Duration::from_millis(10);
@@ -55,6 +55,8 @@
     pub length: u64,
     /// The load.
     pub load: LoadPlan,
+    /// Orders to all workers that get no answer, if any.
+    pub unanswered: Option<Unanswered>,
     /// Faults, if any.
     pub faults: Option<FaultPlan>,
     /// Print what happens to this job, and to members.
--- a/crates/celerywinch_bench/tests/members.rs
+++ b/crates/celerywinch_bench/tests/members.rs
@@ -18,6 +18,7 @@
             cpu: BRIEF_CPU,
             burst: None,
         },
+        unanswered: None,
         faults: None,
         follow: None,
     }
--- a/crates/celerywinch_bench/tests/members_divided.rs
+++ b/crates/celerywinch_bench/tests/members_divided.rs
@@ -25,6 +25,7 @@
             cpu: 16_000,
             burst: None,
         },
+        unanswered: None,
         faults: None,
         follow: None,
     }
--- a/crates/celerywinch_pool/src/call.rs
+++ b/crates/celerywinch_pool/src/call.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use celerywinch_types::{Fence, RunNumber, TaskId, Time, WorkerClock};
+use celerywinch_types::{Fence, RunNumber, TaskId, WorkerClock};
 use slotmap::new_key_type;
 
 new_key_type! {
@@ -143,11 +143,13 @@
     Stop(crate::run::RunKey),
     StopAlien(crate::worker::WorkerKey),
     Look(crate::worker::WorkerKey, LookKind),
+    Check(crate::worker::WorkerKey, LookKind),
 }
 
 /// A look that is under way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct LookKind {
-    pub(crate) sent: Time,
+    /// The input during which it was sent.
+    pub(crate) input: u64,
     pub(crate) cursor: u64,
 }
--- a/crates/celerywinch_pool/src/leases.rs
+++ b/crates/celerywinch_pool/src/leases.rs
@@ -61,7 +61,8 @@
         }
         let cursor = worker.cursor;
         worker.look_at = Time::NEVER;
-        let kind = LookKind { sent: now, cursor };
+        let input = self.inputs;
+        let kind = LookKind { input, cursor };
         let wait = if waits {
             self.config.look_wait.as_millis() as u32
         } else {
@@ -76,6 +77,30 @@
         self.workers[key].look = call;
     }
 
+    /// Looks at a worker at once, beside the look that may be waiting there for an end.
+    ///
+    /// An order without an answer was carried out, or will be later, or never. To stop it for safety's
+    /// sake would throw away what is at work; to wait for the next look costs up to 150 ms, when
+    /// the task may have less to spare, and the worker takes nothing meanwhile. It is asked at once.
+    pub(crate) fn check(&mut self, key: WorkerKey, out: &mut Vec<Output>) {
+        let input = self.inputs;
+        let Some(worker) = self.workers.get(key) else {
+            return;
+        };
+        if worker.grip != Grip::Held || worker.check.is_some() {
+            return;
+        }
+        let cursor = worker.cursor;
+        let kind = LookKind { input, cursor };
+        let order = Order::Look {
+            deadline: None,
+            cursor,
+            wait: 0,
+        };
+        let call = self.call(key, Pending::Check(key, kind), order, out);
+        self.workers[key].check = call;
+    }
+
     /// Looks that are due, workers that are gone, and leases that are over.
     pub(crate) fn tend_workers(&mut self, now: Time, out: &mut Vec<Output>) {
         let keys: Vec<_> = self.workers.keys().collect();
@@ -158,12 +183,13 @@
         out.push(Output::Note(Note::WorkerGone { worker: id, why }));
     }
 
-    /// Stops that had no answer are sent again.
+    /// Orders and stops without an answer are stopped, unless the worker is being asked what it has.
     pub(crate) fn tend_runs(&mut self, now: Time, out: &mut Vec<Output>) {
         let doubtful: Vec<RunKey> = self
             .runs
             .iter()
             .filter(|(_, run)| run.phase == Phase::Doubtful && !run.stopping)
+            .filter(|(_, run)| self.workers[run.worker].check.is_none())
             .map(|(key, _)| key)
             .collect();
         for key in doubtful {
--- a/crates/celerywinch_pool/src/lib.rs
+++ b/crates/celerywinch_pool/src/lib.rs
@@ -19,6 +19,7 @@
 mod leases;
 mod note;
 mod origins;
+mod patience;
 mod place;
 mod pool;
 mod queue;
--- a/crates/celerywinch_pool/src/pool.rs
+++ b/crates/celerywinch_pool/src/pool.rs
@@ -87,6 +87,8 @@
     /// The last question to each origin, and how many there were.
     pub(crate) asked: BTreeMap<InstanceId, u64>,
     pub(crate) asks: u64,
+    /// Counts the inputs: what was sent during one of them was sent after all that was heard before.
+    pub(crate) inputs: u64,
     /// The batch of the current input, if what finds no room of it is to be given back.
     pub(crate) passing: Option<BatchKey>,
 }
@@ -116,6 +118,7 @@
             touched: Vec::new(),
             asked: BTreeMap::new(),
             asks: 0,
+            inputs: 0,
             passing: None,
         }
     }
@@ -184,6 +187,7 @@
 
     /// Takes an input and appends what the host is to do.
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
+        self.inputs += 1;
         match input {
             Input::Acquire(domain, fence) => self.acquire(now, domain, fence, out),
             Input::Resign(domain) => self.resign(now, domain, out),
@@ -346,7 +350,9 @@
             Order::Look { wait, .. } => {
                 std::time::Duration::from_millis(wait.into()) + self.config.answer
             }
-            Order::Start { .. } | Order::Stop { .. } => self.config.order,
+            Order::Start { .. } | Order::Stop { .. } => {
+                self.workers[worker].patience.wait(self.config.order)
+            }
         };
         let key = self.calls.insert(pending);
         out.push(Output::Call(Call {
--- a/crates/celerywinch_pool/src/results.rs
+++ b/crates/celerywinch_pool/src/results.rs
@@ -38,7 +38,10 @@
             Pending::Look(worker, kind) if self.awaits(worker, key) => {
                 self.look_answered(now, worker, kind, answer, out);
             }
-            Pending::Look(..) => {}
+            Pending::Check(worker, kind) if self.awaits_check(worker, key) => {
+                self.check_answered(now, worker, kind, answer, out);
+            }
+            Pending::Look(..) | Pending::Check(..) => {}
         }
     }
 
@@ -47,6 +50,11 @@
         worker.is_some_and(|worker| worker.look == Some(look))
     }
 
+    fn awaits_check(&self, worker: WorkerKey, check: CallKey) -> bool {
+        let worker = self.workers.get(worker);
+        worker.is_some_and(|worker| worker.check == Some(check))
+    }
+
     fn read_clock(&mut self, now: Time, worker: WorkerKey, clock: WorkerClock) {
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.read_clock(now, clock);
@@ -59,9 +67,13 @@
         };
         if let Some(clock) = clock_of(&answer) {
             self.read_clock(now, run.worker, clock);
+            if let Some(worker) = self.workers.get_mut(run.worker) {
+                worker.patience.learn(now.since(run.started));
+            }
         }
+        let heard = Phase::Running(self.inputs);
         match answer {
-            Answer::Taken(_) | Answer::Lists { .. } => self.set_phase(key, Phase::Running(now)),
+            Answer::Taken(_) | Answer::Lists { .. } => self.set_phase(key, heard),
             Answer::Rejected(reject, _) => self.start_rejected(now, key, run, reject, out),
             Answer::OtherLife => self.forget_worker(now, run.worker, "another life is there", out),
             Answer::Refused => {
@@ -71,12 +83,12 @@
             Answer::Silent => {
                 self.missed(now, run.worker, out);
                 if run.stopped {
-                    // Whether it runs or not, it does not after that; the next look shows it.
-                    self.set_phase(key, Phase::Running(now + self.config.stop));
+                    // Whether it runs or not, it is not started after that; the next look shows it.
+                    self.set_phase(key, heard);
                 } else {
-                    // It may have started, or start later. A stop settles both.
+                    // It may have started, or start later.
                     self.set_phase(key, Phase::Doubtful);
-                    self.stop_run(now, key, out);
+                    self.check(run.worker, out);
                 }
             }
         }
@@ -146,13 +158,19 @@
         match answer {
             Answer::Taken(_) | Answer::Lists { .. } => {
                 // Refused from now on if it was not there; else its end is listed soon.
+                let heard = Phase::Running(self.inputs);
+                let mut doubtful = false;
                 if let Some(run) = self.runs.get_mut(key) {
                     run.stopping = true;
                     run.stopped = true;
-                    if run.phase == Phase::Doubtful {
-                        run.phase = Phase::Running(now + self.config.stop);
+                    doubtful = run.phase == Phase::Doubtful;
+                    if doubtful {
+                        run.phase = heard;
                     }
                 }
+                if doubtful {
+                    self.check(worker, out);
+                }
                 self.workers[worker].look_at = now + self.config.stop;
                 self.look(now, worker, out);
             }
@@ -200,6 +218,40 @@
         self.look(now, key, out);
     }
 
+    /// What a worker has, asked for since an order had no answer.
+    fn check_answered(
+        &mut self,
+        now: Time,
+        key: WorkerKey,
+        kind: LookKind,
+        answer: Answer,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        worker.check = None;
+        match answer {
+            Answer::Lists {
+                clock,
+                running,
+                ended,
+            } => {
+                worker.read_clock(now, clock);
+                worker.acknowledged = worker.acknowledged.max(kind.cursor);
+                self.take_lists(now, key, kind, &running, &ended, out);
+                // What is still in doubt was not there: a stop keeps it from starting later.
+                self.tend_runs(now, out);
+            }
+            Answer::Rejected(Reject::Fence, _) => out.push(Output::Outbid(worker.domain)),
+            Answer::OtherLife => self.forget_worker(now, key, "another life is there", out),
+            Answer::Taken(_) | Answer::Rejected(..) | Answer::Refused | Answer::Silent => {
+                self.missed(now, key, out);
+            }
+        }
+        self.look(now, key, out);
+    }
+
     /// A call had no answer.
     fn missed(&mut self, now: Time, key: WorkerKey, out: &mut Vec<Output>) {
         let Some(worker) = self.workers.get_mut(key) else {
@@ -235,7 +287,11 @@
             self.taken_over(now, key, running, out);
             return;
         }
-        self.check_aliens(now, key, running);
+        // A list that was asked for before one that was read already may show what is over.
+        if self.workers[key].listed <= kind.input {
+            self.workers[key].listed = kind.input;
+            self.check_aliens(now, key, running);
+        }
         for run in self.workers[key].runs.clone() {
             self.compare(now, run, kind, running, out);
         }
@@ -366,9 +422,14 @@
             .iter()
             .find(|row| row.task == run.task && row.run == run.number);
         match (row, run.phase) {
-            (Some(row), _) => self.watch_progress(now, key, row.percent, out),
+            (Some(row), Phase::Running(_)) => self.watch_progress(now, key, row.percent, out),
+            (Some(_), Phase::Starting | Phase::Doubtful) => {
+                self.set_phase(key, Phase::Running(self.inputs));
+            }
             // Confirmed before the look was sent, and neither at work nor ended: it is gone.
-            (None, Phase::Running(at)) if at < kind.sent => self.run_ended(now, key, How::Cut, out),
+            (None, Phase::Running(heard)) if heard <= kind.input => {
+                self.run_ended(now, key, How::Cut, out);
+            }
             (None, _) => {}
         }
     }
--- a/crates/celerywinch_pool/src/run.rs
+++ b/crates/celerywinch_pool/src/run.rs
@@ -18,9 +18,10 @@
 pub(crate) enum Phase {
     /// The order is under way.
     Starting,
-    /// The worker has confirmed it, by then.
-    Running(Time),
-    /// The order got no answer, or a stop was sent: it may run, or start late, until it is settled.
+    /// The worker has confirmed it, or will not start it any more; heard in this input. A look sent then or
+    /// later that does not list it shows that it is gone.
+    Running(u64),
+    /// The order got no answer: it may run, or start late, until it is settled.
     Doubtful,
 }
 
--- a/crates/celerywinch_pool/src/takeover.rs
+++ b/crates/celerywinch_pool/src/takeover.rs
@@ -166,7 +166,7 @@
             need: batch.order.need,
             started: now,
             expected: batch.expected,
-            phase: Phase::Running(now),
+            phase: Phase::Running(self.inputs),
             adopted: true,
             stopping: false,
             stopped: false,
--- a/crates/celerywinch_pool/src/worker.rs
+++ b/crates/celerywinch_pool/src/worker.rs
@@ -7,6 +7,7 @@
 
 use crate::call::CallKey;
 use crate::config::{CLOCK_ERROR, LEASE_MARGIN};
+use crate::patience::Patience;
 use crate::run::RunKey;
 
 new_key_type! {
@@ -52,6 +53,12 @@
     pub(crate) lease: Time,
     /// The look that is under way.
     pub(crate) look: Option<CallKey>,
+    /// A look beside that which answers at once, to settle an order without an answer.
+    pub(crate) check: Option<CallKey>,
+    /// The input during which the newest list that was read was asked for.
+    pub(crate) listed: u64,
+    /// What its answers to orders took.
+    pub(crate) patience: Patience,
     /// When to look again though nothing runs.
     pub(crate) look_at: Time,
     /// Looks and orders in a row without an answer.
@@ -81,6 +88,9 @@
             clock: None,
             lease: Time::default(),
             look: None,
+            check: None,
+            listed: 0,
+            patience: Patience::default(),
             look_at: Time::NEVER,
             silent: 0,
             heard: now,
@@ -100,6 +110,7 @@
         self.cursor = 0;
         self.acknowledged = 0;
         self.look = None;
+        self.check = None;
         self.look_at = Time::NEVER;
         self.silent = 0;
     }
