--- a/crates/celerywinch_domains/src/domains.rs
+++ b/crates/celerywinch_domains/src/domains.rs
@@ -13,6 +13,9 @@
 /// An entry listens this long after its start, and after a pause of its process, before it takes a
 /// data centre over: a holder that is alive is heard within that time.
 const LISTEN: Duration = Duration::from_millis(450);
+/// The same where all that is heard has just started too: then nobody holds anything. Heartbeats of those
+/// that started at the same moment have come by then, and it is known who is ready.
+const LISTEN_ANEW: Duration = Duration::from_millis(200);
 /// After a worker has shown that another process took over, this one waits for that process's
 /// heartbeat, which may come over a link that is still being opened.
 const OUTBID_WAIT: Duration = Duration::from_millis(250);
@@ -198,9 +201,10 @@
             (Some(_), _) if self.lost(now, domain.dc, peers, reached) => self.resign(domain, out),
             (Some(_), _) | (None, Some(_)) => {}
             (None, None) => {
-                let settled = now.since(self.listens_from) >= LISTEN;
+                let listen = listen(now, peers);
+                let settled = now.since(self.listens_from) >= listen;
                 let may = settled && connected(now, peers) && self.is_best(now, shard, peers);
-                if may && self.may_take(now, domain.dc) {
+                if may && self.may_take(now, domain.dc, listen) {
                     self.acquire(domain, out);
                 }
             }
@@ -262,16 +266,16 @@
     }
 
     /// Whether a data centre may be taken: it is heard, or it is time for a trial.
-    fn may_take(&mut self, now: Time, dc: DataCentreId) -> bool {
+    fn may_take(&mut self, now: Time, dc: DataCentreId, listen: Duration) -> bool {
         if let Some(since) = self.heard.get(&dc) {
             // As a cut heals, its processes are heard one after the other; the one that dispatches
             // there may be the last.
-            return dc == self.me.dc || now.since(*since) >= LISTEN;
+            return dc == self.me.dc || now.since(*since) >= listen;
         }
         // A cut that is healing shows its data centres one after the other.
         let settled = self.heard.iter();
         let settled =
-            settled.filter(|(dc, since)| **dc == self.me.dc || now.since(**since) >= LISTEN);
+            settled.filter(|(dc, since)| **dc == self.me.dc || now.since(**since) >= listen);
         if settled.count() * 2 <= self.dcs.len() {
             return false;
         }
@@ -291,6 +295,15 @@
     }
 }
 
+/// How long a holder that is alive may be silent to this entry.
+fn listen(now: Time, peers: &Peers) -> Duration {
+    if peers.all_new(now) {
+        LISTEN_ANEW
+    } else {
+        LISTEN
+    }
+}
+
 fn serves(view: &PeerView) -> bool {
     view.beat.part == Part::Entry && view.beat.stage == Stage::Ready
 }
--- a/crates/celerywinch_domains/src/peers.rs
+++ b/crates/celerywinch_domains/src/peers.rs
@@ -8,6 +8,10 @@
 /// One that was not heard for this long is forgotten. Long enough for a cut to heal.
 const FORGET: Duration = Duration::from_secs(60);
 
+/// A process has just started for this long. Machines that lose power together are back within tens of ms
+/// of each other.
+const NEW: Time = Time(1_000_000);
+
 /// Another process.
 #[derive(Clone, Debug)]
 pub struct PeerView {
@@ -96,6 +100,15 @@
         self.all().filter(move |(_, view)| view.alive(now))
     }
 
+    /// Whether some are heard, and all of them have just started: after the loss of all processes at once
+    /// nobody is left to listen for, and callers are waiting already. On the users' days that is 250 ms
+    /// of refusals less after each such loss.
+    #[must_use]
+    pub fn all_new(&self, now: Time) -> bool {
+        let mut alive = self.alive(now).peekable();
+        alive.peek().is_some() && alive.all(|(_, view)| view.beat.sent < NEW)
+    }
+
     /// The keepers, heard lately or not.
     pub fn keepers(&self) -> impl Iterator<Item = InstanceId> + '_ {
         let keepers = self.all();
--- a/crates/celerywinch_domains/tests/holders.rs
+++ b/crates/celerywinch_domains/tests/holders.rs
@@ -33,7 +33,8 @@
         fence: Fence(0),
         version: 1,
         shards: 1,
-        sent: Time(0),
+        // Of a process that has run for some time.
+        sent: Time(5_000_000),
         echo: None,
     }
 }
@@ -203,3 +204,24 @@
     }
     assert!(rig.held().contains(&0), "heard again");
 }
+
+/// All processes lose power at once and are back within tens of ms. Callers are refused as long as nobody
+/// dispatches, and to listen for a holder is in vain: all that is heard has just started. One that has run for
+/// longer may know of a holder that is not heard yet.
+#[rstest]
+#[case::all_have_just_started(20, &[0, 1, 2])]
+#[case::one_has_not(5_000, &[])]
+fn nobody_listens_for_what_is_lost_with_all(#[case] age: u64, #[case] held: &[u8]) {
+    let mut rig = Rig::new();
+    for _ in 0..8 {
+        for (instance, dc, age) in [(101, 1, 20), (102, 2, age)] {
+            let beat = Beat {
+                sent: Time(age * 1_000),
+                ..beat(dc, Part::Keeper, &[])
+            };
+            rig.hear(instance, beat);
+        }
+        rig.tick();
+    }
+    assert_eq!(rig.held(), held);
+}
--- a/crates/celerywinch_fleet/src/core.rs
+++ b/crates/celerywinch_fleet/src/core.rs
@@ -313,6 +313,7 @@
         self.input(now, Input::Tick);
         self.beat_seeds(now);
         self.roster.forget(now);
+        self.save_workers(now);
         self.measure(now);
     }
 
--- a/crates/celerywinch_fleet/src/core/keeping.rs
+++ b/crates/celerywinch_fleet/src/core/keeping.rs
@@ -31,6 +31,11 @@
                     self.send_document(entry);
                 }
             }
+            StoreOut::Workers(notes) => {
+                for note in notes {
+                    self.announced(now, note);
+                }
+            }
             StoreOut::Role(figures) => self.note(&CoreNote::Keeper {
                 role: format!("{:?}", figures.role),
                 term: figures.term,
@@ -128,6 +133,15 @@
         stage == WorkerStage::Ready || !entries.is_empty()
     }
 
+    /// Has the workers written to the disk, if that is due.
+    pub(super) fn save_workers(&mut self, now: Time) {
+        if self.store.is_some()
+            && let Some(workers) = self.roster.to_save(now)
+        {
+            self.to_store(StoreIn::Workers(workers));
+        }
+    }
+
     pub(super) fn worker_left(&mut self, now: Time, worker: &str) -> bool {
         if let Some(note) = self.roster.left(now, worker) {
             for entry in self.entries(now) {
--- a/crates/celerywinch_fleet/src/lib.rs
+++ b/crates/celerywinch_fleet/src/lib.rs
@@ -20,3 +20,4 @@
 pub use config::{FleetConfig, Port};
 pub use core::start;
 pub use handle::{Fleet, Submitted};
+pub use roster::Roster;
--- a/crates/celerywinch_fleet/src/roster.rs
+++ b/crates/celerywinch_fleet/src/roster.rs
@@ -11,6 +11,9 @@
 /// One that has left is remembered for this long: a late announcement must not bring it back.
 const REMEMBER_GONE: Duration = Duration::from_secs(20);
 
+/// Between two lists of workers that are written to the disk.
+const SAVE: Duration = Duration::from_secs(2);
+
 /// A worker and when it was heard last.
 #[derive(Clone, Debug)]
 struct Known {
@@ -20,16 +23,20 @@
 
 /// The workers that announce themselves here.
 #[derive(Debug, Default)]
-pub(crate) struct Roster {
+pub struct Roster {
     workers: HashMap<String, Known>,
+    /// Whether one has come, changed or gone since the list was saved.
+    changed: bool,
+    saved: Time,
 }
 
 impl Roster {
     /// Takes an announcement; true if the others have to hear of it.
-    pub(crate) fn heard(&mut self, now: Time, note: WorkerNote) -> bool {
+    pub fn heard(&mut self, now: Time, note: WorkerNote) -> bool {
         let Some(known) = self.workers.get_mut(&note.id) else {
             let name = note.id.clone();
             self.workers.insert(name, Known { note, heard: now });
+            self.changed = true;
             return true;
         };
         known.heard = now;
@@ -40,19 +47,22 @@
             return false;
         }
         let news = differs(&known.note, &note);
+        self.changed |= news;
         known.note = note;
         news
     }
 
     /// A worker says that it leaves.
-    pub(crate) fn left(&mut self, now: Time, id: &str) -> Option<WorkerNote> {
+    pub fn left(&mut self, now: Time, id: &str) -> Option<WorkerNote> {
         let known = self.workers.get_mut(id)?;
         known.heard = now;
         known.note.stage = WorkerStage::Gone;
+        self.changed = true;
         Some(known.note.clone())
     }
 
-    pub(crate) fn forget(&mut self, now: Time) {
+    /// Forgets those that were not heard for long.
+    pub fn forget(&mut self, now: Time) {
         self.workers.retain(|_, known| {
             let limit = match known.note.stage {
                 WorkerStage::Gone => REMEMBER_GONE,
@@ -62,14 +72,37 @@
         });
     }
 
-    pub(crate) fn all(&self) -> Vec<WorkerNote> {
+    /// All that are known, also those that have left lately.
+    #[must_use]
+    pub fn all(&self) -> Vec<WorkerNote> {
         let workers = self.workers.values();
         workers.map(|known| known.note.clone()).collect()
     }
 
-    pub(crate) fn len(&self) -> usize {
+    /// Those that serve, if that has changed since the last time and `SAVE` is over: each list costs
+    /// the disk two syncs.
+    pub fn to_save(&mut self, now: Time) -> Option<Vec<WorkerNote>> {
+        if !self.changed || now.since(self.saved) < SAVE {
+            return None;
+        }
+        self.changed = false;
+        self.saved = now;
+        let ready = |note: &WorkerNote| note.stage == WorkerStage::Ready;
+        let notes = self.all().into_iter().filter(ready);
+        Some(notes.collect())
+    }
+
+    /// How many are known.
+    #[must_use]
+    pub fn len(&self) -> usize {
         self.workers.len()
     }
+
+    /// Whether none is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.workers.is_empty()
+    }
 }
 
 /// Whether something changed but the count of announcements.
--- a/crates/celerywinch_fleet/src/store.rs
+++ b/crates/celerywinch_fleet/src/store.rs
@@ -8,8 +8,8 @@
 
 use anyhow::Context;
 use celerywinch_registry::{Figures, Held, Registry, RegistryOutput, Request};
-use celerywinch_store::{Disk, Input, KeeperId, Output, RaftConfig, Record};
-use celerywinch_types::{FleetMsg, InstanceId, KeepMsg, Time};
+use celerywinch_store::{Disk, Input, KeeperId, Output, RaftConfig, Record, load_file, save_file};
+use celerywinch_types::{FleetMsg, InstanceId, KeepMsg, Time, WorkerNote};
 use tokio::sync::mpsc::UnboundedSender;
 
 use crate::core::CoreMsg;
@@ -28,6 +28,8 @@
 const REOPEN: Duration = Duration::from_secs(1);
 /// The folder of the log within the data folder.
 const FOLDER: &str = "registry";
+/// The file with the workers within the data folder.
+const WORKERS: &str = "workers";
 /// The thread's stack, in bytes; it calls nothing deep.
 const STACK: usize = 256 << 10;
 
@@ -37,6 +39,8 @@
     Log(InstanceId, Vec<u8>),
     Request(Request),
     Contacts(Vec<InstanceId>),
+    /// The workers that are known, to be there again after a restart.
+    Workers(Vec<WorkerNote>),
 }
 
 /// What the thread tells the core.
@@ -46,6 +50,8 @@
     Answer(u64, Option<Held>),
     Committed(Held),
     Role(Figures),
+    /// The workers that were known before a restart.
+    Workers(Vec<WorkerNote>),
 }
 
 struct Store {
@@ -80,6 +86,7 @@
         reopen_at: Time::NEVER,
         contacts: Vec::new(),
     };
+    store.load_workers();
     store.open()?;
     let (sender, inbox) = channel();
     thread::Builder::new()
@@ -167,6 +174,7 @@
                 }
                 self.with(now, |registry, out| registry.request(now, request, out));
             }
+            StoreIn::Workers(workers) => self.save_workers(&workers),
             StoreIn::Contacts(contacts) => {
                 self.contacts = contacts.clone();
                 if let Some((registry, _)) = &mut self.open {
@@ -176,6 +184,23 @@
         }
     }
 
+    /// Workers announce themselves every 1.5 s. After the loss of all processes at once a dispatcher that
+    /// waits for that refuses callers for want of workers which are there; with the list it looks at
+    /// them at once, and what has gone meanwhile does not answer.
+    fn load_workers(&self) {
+        match load_file(&self.folder, WORKERS) {
+            Ok(workers) => self.tell(StoreOut::Workers(workers.unwrap_or_default())),
+            Err(error) => log::warn!("store: The workers known before cannot be read: {error:#}."),
+        }
+    }
+
+    /// Nothing rests on the file: without it workers are known when they announce themselves.
+    fn save_workers(&self, workers: &[WorkerNote]) {
+        if let Err(error) = save_file(&self.folder, WORKERS, &workers) {
+            log::warn!("store: The workers cannot be written: {error:#}.");
+        }
+    }
+
     fn with(&mut self, now: Time, act: impl FnOnce(&mut Registry, &mut Vec<RegistryOutput>)) {
         let mut out = Vec::new();
         if let Some((registry, _)) = &mut self.open {
--- /dev/null
+++ b/crates/celerywinch_fleet/tests/roster.rs
@@ -0,0 +1,60 @@
+//! The workers that a keeper knows, over its restarts.
+
+use std::time::Duration;
+
+use celerywinch_fleet::Roster;
+use celerywinch_types::{DataCentreId, Room, Time, WorkerNote, WorkerStage};
+
+fn note(id: &str, stage: WorkerStage, sequence: u64) -> WorkerNote {
+    WorkerNote {
+        id: id.to_owned(),
+        service: "s".to_owned(),
+        addr: ([127, 0, 0, 1], 1).into(),
+        dc: DataCentreId(0),
+        room: Room::default(),
+        labels: Vec::new(),
+        stage,
+        sequence,
+    }
+}
+
+fn names(notes: Option<Vec<WorkerNote>>) -> Option<Vec<String>> {
+    let mut names: Vec<_> = notes?.into_iter().map(|note| note.id).collect();
+    names.sort();
+    Some(names)
+}
+
+/// Callers are refused for want of workers that are there: all processes lose power at once, and each worker
+/// announces itself to the new ones up to 1.5 s later. So those that serve are written to the disk when they
+/// change, not with each announcement, and not those that leave.
+#[test]
+fn workers_that_serve_are_saved_when_they_change() {
+    let now = Time(10_000_000);
+    let mut roster = Roster::default();
+    assert_eq!(names(roster.to_save(now)), None);
+    roster.heard(now, note("a", WorkerStage::Ready, 1));
+    roster.heard(now, note("b", WorkerStage::Ready, 1));
+    assert_eq!(
+        names(roster.to_save(now)),
+        Some(vec!["a".into(), "b".into()])
+    );
+    let soon = now + Duration::from_millis(500);
+    roster.heard(soon, note("b", WorkerStage::Draining, 2));
+    assert_eq!(names(roster.to_save(soon)), None, "too soon after the last");
+    let later = now + Duration::from_millis(2_500);
+    assert_eq!(names(roster.to_save(later)), Some(vec!["a".into()]));
+    let last = now + Duration::from_millis(5_000);
+    roster.heard(last, note("a", WorkerStage::Ready, 2));
+    assert_eq!(names(roster.to_save(last)), None, "nothing changed");
+}
+
+/// A worker that drains gets work again: a list from the disk of a keeper that was down is older than what it has
+/// said since. What counts is the number of its announcement.
+#[test]
+fn older_state_does_not_come_back() {
+    let now = Time(10_000_000);
+    let mut roster = Roster::default();
+    roster.heard(now, note("a", WorkerStage::Draining, 7));
+    assert!(!roster.heard(now, note("a", WorkerStage::Ready, 4)));
+    assert_eq!(roster.all()[0].stage, WorkerStage::Draining);
+}
--- a/crates/celerywinch_member/src/member.rs
+++ b/crates/celerywinch_member/src/member.rs
@@ -16,6 +16,8 @@
 /// An entry is ready this long after its start at the earliest: heartbeats of all that are there
 /// have come by then.
 const JOIN: Duration = Duration::from_millis(300);
+/// The same where all that is heard has just started too, and nobody is left to hear of.
+const JOIN_ANEW: Duration = Duration::from_millis(100);
 /// Between two comparisons of who dispatches for what, where no heartbeat gives cause for one.
 const COMPARE: Duration = Duration::from_millis(40);
 /// A data centre is reached if one of its workers answered within this time.
@@ -270,9 +272,15 @@
 
     /// Becomes ready once it knows the configuration and had time to hear the others.
     fn join(&mut self, now: Time, out: &mut Vec<Output>) {
-        let known = self.version > 0 && now.since(self.started) >= JOIN;
+        let wait = if self.peers.all_new(now) {
+            JOIN_ANEW
+        } else {
+            JOIN
+        };
+        let known = self.version > 0 && now.since(self.started) >= wait;
         if self.stage == Stage::Joining && known {
             self.set_stage(Stage::Ready, out);
+            self.send_beats(now, out);
         }
     }
 
