--- a/crates/celerywinch_domains/src/domains.rs
+++ b/crates/celerywinch_domains/src/domains.rs
@@ -23,6 +23,10 @@
 /// others: its workers may be reached all the same. A trial lasts so long, and is repeated then.
 const TRIAL: Duration = Duration::from_millis(800);
 const NEXT_TRIAL: Duration = Duration::from_secs(3);
+/// The workers of a data centre none of whose processes is heard are asked for so long before it counts as out
+/// of reach. Idle ones may not have been called for minutes; several are asked within the time, one
+/// after the other.
+const ASKED: Duration = Duration::from_millis(650);
 /// Bits of a fencing token below its epoch; they hold the low bits of the instance's number, so that no
 /// two processes use one token.
 const EPOCH_SHIFT: u32 = 16;
@@ -64,6 +68,8 @@
     listens_from: Time,
     /// Since when a process of each data centre is heard without a break.
     heard: BTreeMap<DataCentreId, Time>,
+    /// Since when no process of a data centre is heard.
+    silent: BTreeMap<DataCentreId, Time>,
     /// When data centres were tried last.
     trials: BTreeMap<DataCentreId, Time>,
 }
@@ -81,6 +87,7 @@
             top: Fence(epoch << EPOCH_SHIFT),
             listens_from: now,
             heard: BTreeMap::new(),
+            silent: BTreeMap::new(),
             trials: BTreeMap::new(),
         }
     }
@@ -164,8 +171,10 @@
         for dc in self.dcs.clone() {
             if self.hears(now, dc, peers) {
                 self.heard.entry(dc).or_insert(now);
+                self.silent.remove(&dc);
             } else {
                 self.heard.remove(&dc);
+                self.silent.entry(dc).or_insert(now);
             }
             for shard in 0..self.shards {
                 let domain = Domain { dc, shard };
@@ -291,7 +300,9 @@
     fn lost(&self, now: Time, dc: DataCentreId, peers: &Peers, reached: bool) -> bool {
         let trial = self.trials.get(&dc);
         let tried = trial.is_none_or(|start| now.since(*start) >= TRIAL);
-        !reached && tried && !self.hears(now, dc, peers)
+        let silent = self.silent.get(&dc);
+        let asked = silent.is_some_and(|since| now.since(*since) >= ASKED);
+        !reached && tried && asked && !self.hears(now, dc, peers)
     }
 }
 
--- a/crates/celerywinch_fleet/src/core/members.rs
+++ b/crates/celerywinch_fleet/src/core/members.rs
@@ -54,7 +54,7 @@
     /// that announced themselves in between, and dispatch without them for as long as it runs. So
     /// each that is heard, for the first time or again, is told of all.
     pub(super) fn send_workers(&self, to: InstanceId) {
-        if self.roster.len() > 0 {
+        if !self.roster.is_empty() {
             let notes = self.roster.all();
             self.links.send(to, FleetMsg::Workers(notes));
         }
--- a/crates/celerywinch_member/tests/idle.rs
+++ b/crates/celerywinch_member/tests/idle.rs
@@ -47,9 +47,9 @@
 }
 
 /// A member far from a data centre that it dispatches for, and that data centre's workers. All
-/// processes there fall silent after 1.5 s, and with them the first `dead` of its workers. The answer is
-/// how often the dispatcher gave the data centre up in the 5 s of the run.
-fn times_given_up(dead: u16, workers: u16) -> usize {
+/// processes there fall silent after `heard` steps of 10 ms, and with them the first `dead` of its workers. The
+/// answer is how often the dispatcher gave the data centre up in the 5 s of the run.
+fn times_given_up(heard: u64, dead: u16, workers: u16) -> usize {
     let config = MemberConfig {
         me: process(1),
         part: Part::Entry,
@@ -65,7 +65,7 @@
     let mut given_up = 0;
     for step in 0..500 {
         now = now + Duration::from_millis(10);
-        let cut = step >= 150;
+        let cut = step >= heard;
         if !cut {
             inputs.push(Input::Beat(process(3), beat(1)));
         }
@@ -100,19 +100,25 @@
 /// data centre for cut off. It gives it up, tries it again 3 s later, and so on.
 #[test]
 fn idle_data_centre_is_kept_while_its_workers_answer() {
-    assert_eq!(times_given_up(0, 1), 0);
+    assert_eq!(times_given_up(150, 0, 1), 0);
 }
 
 /// The same where some of its workers died with the processes: one of the others is found before the
 /// second is over, whichever is asked first.
 #[test]
 fn idle_data_centre_is_kept_while_some_of_its_workers_answer() {
-    assert_eq!(times_given_up(3, 5), 0);
+    assert_eq!(times_given_up(150, 3, 5), 0);
 }
 
 /// A data centre that is cut off as a whole is given up, so that its own entries dispatch there without
 /// being outbid.
 #[test]
 fn data_centre_is_given_up_when_nothing_there_answers() {
-    assert!(times_given_up(5, 5) >= 1);
+    assert!(times_given_up(150, 5, 5) >= 1);
+}
+
+/// The same where nobody has called the workers for long when the processes fall silent: they are asked first.
+#[test]
+fn data_centre_that_was_idle_for_long_is_kept_while_its_workers_answer() {
+    assert_eq!(times_given_up(350, 0, 1), 0);
 }
