--- a/crates/celerywinch_pool/src/patience.rs
+++ b/crates/celerywinch_pool/src/patience.rs
@@ -4,7 +4,7 @@
 //! within 2 to 4 ms, but a dispatcher with an eighth of a core reads answers tens of ms late when
 //! several requests come at once. So the wait follows what answers took, by the estimator that TCP uses
 //! for its retransmission timer: the mean, and here eight times the mean deviation, as a process that is
-//! short of time reads many answers late at once: with four, one look in nine was given up at size.
+//! short of time reads many answers late at once: with four, one call in nine was given up at size.
 
 use std::time::Duration;
 
--- a/crates/celerywinch_pool/src/pool.rs
+++ b/crates/celerywinch_pool/src/pool.rs
@@ -348,8 +348,7 @@
         let fence = *self.held.get(&self.workers[worker].domain)?;
         let wait = match order {
             Order::Look { wait, .. } => {
-                let patience = self.workers[worker].patience.wait(self.config.answer);
-                std::time::Duration::from_millis(wait.into()) + patience
+                std::time::Duration::from_millis(wait.into()) + self.config.answer
             }
             Order::Start { .. } | Order::Stop { .. } => {
                 self.workers[worker].patience.wait(self.config.order)
