--- a/crates/celerywinch_pool/tests/runs.rs
+++ b/crates/celerywinch_pool/tests/runs.rs
@@ -12,14 +12,26 @@
 /// The answer to a start, and what follows.
 struct Case {
     answer: Answer,
-    /// Whether a stop is sent, since the run may be there.
+    /// Whether the worker is asked at once, and then shows nothing, so that a stop is sent.
     stops: bool,
     /// Whether the task is started again at once.
     again: bool,
 }
 
+fn is_check(order: &Order) -> bool {
+    matches!(
+        order,
+        Order::Look {
+            deadline: None,
+            wait: 0,
+            ..
+        }
+    )
+}
+
 /// A caller's task runs twice: an order without an answer is taken for one that had no effect. It may
-/// be carried out, or be later; only a refusal is certain.
+/// be carried out, or be later; only a refusal is certain. The worker is asked, and what it does not list is
+/// stopped, before the task is started again.
 #[rstest]
 #[case::taken(Case { answer: Answer::Taken(clock()), stops: false, again: false })]
 #[case::silent(Case { answer: Answer::Silent, stops: true, again: false })]
@@ -36,12 +48,37 @@
     let mut rig = Rig::new(Vec::new(), Vec::new());
     rig.submit(step(Doubt::None, 0));
     let start = rig.last(is_start);
+    let before = rig.count(is_check);
     rig.answer(&start, case.answer);
+    assert_eq!(rig.count(is_check) > before, case.stops);
+    if case.stops {
+        let check = rig.last(is_check);
+        rig.answer(&check, lists(Vec::new(), Vec::new()));
+    }
     rig.take(Input::Tick);
     assert_eq!(rig.count(is_stop) > 0, case.stops);
     assert_eq!(rig.count(is_start) > 1, case.again);
 }
 
+/// Work is thrown away of which only the answer to its order was lost: the worker lists it, and it goes on. Where the
+/// worker does not answer that either, the run is stopped.
+#[rstest]
+#[case::at_work(lists(vec![row(1)], Vec::new()), 0)]
+#[case::no_answer(Answer::Silent, 1)]
+fn order_without_an_answer_is_settled_by_what_the_worker_has(
+    #[case] answer: Answer,
+    #[case] stops: usize,
+) {
+    let mut rig = Rig::new(Vec::new(), Vec::new());
+    rig.submit(step(Doubt::None, 0));
+    let start = rig.last(is_start);
+    rig.answer(&start, Answer::Silent);
+    let check = rig.last(is_check);
+    rig.answer(&check, answer);
+    rig.take(Input::Tick);
+    assert_eq!((rig.count(is_stop), rig.count(is_start)), (stops, 1));
+}
+
 /// A worker is taken for busy for ever: a caller leaves, the stop of its task is answered before the
 /// start is, and the start's answer is then lost. The stop settles the run, whatever comes after.
 #[test]
