Logs and metrics tell why a worker is gone, for how long it was silent, and what was given up with it

Change: why as a type, silent ms and runs in worker_gone; how is gone for such runs; celerywinch_workers_gone_total by why.

--- a/crates/celerywinch_fleet/src/metrics.rs
+++ b/crates/celerywinch_fleet/src/metrics.rs
@@ -21,6 +21,7 @@
     refused: IntCounter,
     moved: IntCounter,
     aside: IntCounter,
+    gone: IntCounterVec,
     changes: IntCounter,
     pub(crate) peers: IntGauge,
     pub(crate) workers: IntGauge,
@@ -42,6 +43,11 @@
             refused: meter.counter("refused_total", "Jobs refused by this dispatcher.")?,
             moved: meter.counter("moved_total", "Runs stopped for too little progress.")?,
             aside: meter.counter("aside_total", "Times a worker was set aside.")?,
+            gone: meter.family(
+                "workers_gone_total",
+                "Workers that are gone, by how it is known.",
+                "why",
+            )?,
             changes: meter.counter("changes_total", "Domains acquired or resigned here.")?,
             peers: meter.gauge("peers", "Processes that are heard.")?,
             workers: meter.gauge("workers", "Workers that obey this dispatcher.")?,
@@ -57,6 +63,7 @@
             Note::Refused { .. } => self.refused.inc(),
             Note::Moved { .. } => self.moved.inc(),
             Note::WorkerAside { .. } => self.aside.inc(),
+            Note::WorkerGone { why, .. } => self.gone.with_label_values(&[why.label()]).inc(),
             Note::Acquired { .. } | Note::Resigned { .. } => self.changes.inc(),
             Note::Queued { .. }
             | Note::Passed { .. }
@@ -64,8 +71,7 @@
             | Note::GrantOver { .. }
             | Note::Started { .. }
             | Note::WorkerSilent { .. }
-            | Note::WorkerHeld { .. }
-            | Note::WorkerGone { .. } => {}
+            | Note::WorkerHeld { .. } => {}
         }
     }
 
--- a/crates/celerywinch_pool/src/leases.rs
+++ b/crates/celerywinch_pool/src/leases.rs
@@ -4,11 +4,11 @@
 
 use celerywinch_types::{Domain, Time, WorkerClock};
 
-use crate::Note;
 use crate::call::{LookKind, Order, Pending};
 use crate::pool::{Output, Pool};
 use crate::run::{Phase, RunKey};
 use crate::worker::{Grip, WorkerKey};
+use crate::{Departure, Note};
 
 /// A run is late when it takes this much longer than expected, ...
 const LATE_FACTOR: f64 = 2.5;
@@ -116,7 +116,7 @@
         for key in keys {
             let worker = &self.workers[key];
             if worker.silent > 0 && now.since(worker.heard) > self.config.forget {
-                self.forget_worker(now, key, "it was not heard for long", out);
+                self.forget_worker(now, key, Departure::Silent, out);
                 continue;
             }
             if worker.silent > 0 && worker.lease <= now && !worker.runs.is_empty() {
@@ -147,13 +147,13 @@
     }
 
     /// The lease of a silent worker is over: nothing runs there any more.
-    fn lapse(&mut self, _now: Time, key: WorkerKey, out: &mut Vec<Output>) {
+    fn lapse(&mut self, now: Time, key: WorkerKey, out: &mut Vec<Output>) {
         for run in self.workers[key].runs.clone() {
-            self.lose_run(_now, run, out);
+            self.lose_run(now, run, "lost", out);
         }
     }
 
-    pub(crate) fn lose_run(&mut self, now: Time, key: RunKey, out: &mut Vec<Output>) {
+    fn lose_run(&mut self, now: Time, key: RunKey, how: &'static str, out: &mut Vec<Output>) {
         let Some(run) = self.release(key) else {
             return;
         };
@@ -161,7 +161,7 @@
             task: run.task,
             run: run.number,
             worker: self.workers[run.worker].note.id.clone(),
-            how: "lost",
+            how,
             took: now.since(run.started).as_millis() as u32,
         }));
         if let Some(batch) = run.batch {
@@ -174,7 +174,7 @@
         &mut self,
         now: Time,
         key: WorkerKey,
-        why: &'static str,
+        why: Departure,
         out: &mut Vec<Output>,
     ) {
         let Some(worker) = self.workers.get(key) else {
@@ -182,14 +182,20 @@
         };
         let id = worker.note.id.clone();
         let addr = worker.note.addr;
-        for run in worker.runs.clone() {
-            self.lose_run(now, run, out);
+        let runs = worker.runs.clone();
+        out.push(Output::Note(Note::WorkerGone {
+            worker: id.clone(),
+            why,
+            silent: now.since(worker.heard).as_millis() as u32,
+            runs: runs.len(),
+        }));
+        for run in runs {
+            self.lose_run(now, run, "gone", out);
         }
         self.workers.remove(key);
         self.names.remove(&id);
         self.forget_addr(addr);
         self.takeover.forget(key);
-        out.push(Output::Note(Note::WorkerGone { worker: id, why }));
     }
 
     /// Orders and stops without an answer are stopped, unless the worker is being asked what it has.
--- a/crates/celerywinch_pool/src/lib.rs
+++ b/crates/celerywinch_pool/src/lib.rs
@@ -34,5 +34,5 @@
 pub use call::{Answer, Call, CallKey, EndedRow, How, Order, Reject, RunningRow};
 pub use config::{CLOCK_ERROR, PoolConfig};
 pub use grants::Grant;
-pub use note::Note;
+pub use note::{Departure, Note};
 pub use pool::{Input, Output, Pool};
--- a/crates/celerywinch_pool/src/note.rs
+++ b/crates/celerywinch_pool/src/note.rs
@@ -3,6 +3,30 @@
 use celerywinch_types::{Domain, InstanceId, JobId, RunNumber, Session, TaskId};
 use serde::Serialize;
 
+/// How it is known that a worker is gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Departure {
+    /// It said so itself.
+    Left,
+    /// Another life answers at its address.
+    OtherLife,
+    /// It gave no answers for long.
+    Silent,
+}
+
+impl Departure {
+    /// The label of its metric.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Left => "left",
+            Self::OtherLife => "other_life",
+            Self::Silent => "silent",
+        }
+    }
+}
+
 /// A decision of the dispatcher.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -119,7 +143,11 @@
         /// The worker.
         worker: String,
         /// How that is known.
-        why: &'static str,
+        why: Departure,
+        /// Ms since it answered last.
+        silent: u32,
+        /// Runs that were believed to be at work there.
+        runs: usize,
     },
     /// This process dispatches for a domain.
     Acquired {
--- a/crates/celerywinch_pool/src/pool.rs
+++ b/crates/celerywinch_pool/src/pool.rs
@@ -19,7 +19,7 @@
 use crate::times::Times;
 use crate::told::Told;
 use crate::worker::{Grip, Worker, WorkerKey, domain_of};
-use crate::{Note, PoolConfig};
+use crate::{Departure, Note, PoolConfig};
 
 /// What happened outside.
 #[derive(Clone, Debug)]
@@ -236,7 +236,7 @@
         let known = self.names.get(&note.id).copied();
         if note.stage == WorkerStage::Gone {
             if let Some(key) = known {
-                self.forget_worker(now, key, "it has left", out);
+                self.forget_worker(now, key, Departure::Left, out);
             }
             return;
         }
--- a/crates/celerywinch_pool/src/results.rs
+++ b/crates/celerywinch_pool/src/results.rs
@@ -2,12 +2,12 @@
 
 use celerywinch_types::{RunNumber, TaskEnd, Time, WorkerClock, WorkerStage};
 
-use crate::Note;
 use crate::call::{Answer, CallKey, EndedRow, How, LookKind, Pending, Reject, RunningRow};
 use crate::job::BatchKey;
 use crate::pool::{Output, Pool};
 use crate::run::{Phase, Run, RunKey};
 use crate::worker::{Grip, WorkerKey};
+use crate::{Departure, Note};
 
 /// Added to a run number that a worker calls old: past any that an earlier origin can have used.
 const RUN_LEAP: u64 = 1 << 20;
@@ -75,7 +75,7 @@
         match answer {
             Answer::Taken(_) | Answer::Lists { .. } => self.set_phase(key, heard),
             Answer::Rejected(reject, _) => self.start_rejected(now, key, run, reject, out),
-            Answer::OtherLife => self.forget_worker(now, run.worker, "another life is there", out),
+            Answer::OtherLife => self.forget_worker(now, run.worker, Departure::OtherLife, out),
             Answer::Refused => {
                 self.not_started(now, key, out);
                 self.missed(now, run.worker, out);
@@ -174,7 +174,7 @@
                 self.workers[worker].look_at = now + self.config.stop;
                 self.look(now, worker, out);
             }
-            Answer::OtherLife => self.forget_worker(now, worker, "another life is there", out),
+            Answer::OtherLife => self.forget_worker(now, worker, Departure::OtherLife, out),
             Answer::Rejected(Reject::Fence, _) => {
                 let domain = self.workers[worker].domain;
                 out.push(Output::Outbid(domain));
@@ -210,7 +210,7 @@
                 self.take_lists(now, key, kind, &running, &ended, out);
             }
             Answer::Rejected(Reject::Fence, _) => out.push(Output::Outbid(worker.domain)),
-            Answer::OtherLife => self.forget_worker(now, key, "another life is there", out),
+            Answer::OtherLife => self.forget_worker(now, key, Departure::OtherLife, out),
             Answer::Taken(_) | Answer::Rejected(..) | Answer::Refused | Answer::Silent => {
                 self.missed(now, key, out);
             }
@@ -244,7 +244,7 @@
                 self.tend_runs(now, out);
             }
             Answer::Rejected(Reject::Fence, _) => out.push(Output::Outbid(worker.domain)),
-            Answer::OtherLife => self.forget_worker(now, key, "another life is there", out),
+            Answer::OtherLife => self.forget_worker(now, key, Departure::OtherLife, out),
             Answer::Taken(_) | Answer::Rejected(..) | Answer::Refused | Answer::Silent => {
                 self.missed(now, key, out);
             }
