A silent worker is forgotten by how long it was asked in vain; its runs are given up with their lease alone

Cause, shown by a trace. So the first of three hypotheses; the second (refused, another life) and third (lists out of order) are ruled out there: no such line before any of them.

Silence counts from the first call in vain, not from the last answer; a worker with runs is never forgotten for silence.

--- a/crates/celerywinch_pool/src/config.rs
+++ b/crates/celerywinch_pool/src/config.rs
@@ -40,7 +40,7 @@
     pub limbo: Duration,
     /// How long a worker that failed tasks gets none.
     pub aside: Duration,
-    /// A worker that was not heard for this long is forgotten.
+    /// A worker that was asked in vain for this long is forgotten.
     pub forget: Duration,
     /// How long a stop may take on a worker.
     pub stop: Duration,
--- a/crates/celerywinch_pool/src/leases.rs
+++ b/crates/celerywinch_pool/src/leases.rs
@@ -115,13 +115,13 @@
         let keys: Vec<_> = self.workers.keys().collect();
         for key in keys {
             let worker = &self.workers[key];
-            if worker.silent > 0 && now.since(worker.heard) > self.config.forget {
-                self.forget_worker(now, key, Departure::Silent, out);
-                continue;
-            }
             if worker.silent > 0 && worker.lease <= now && !worker.runs.is_empty() {
                 self.lapse(now, key, out);
             }
+            if self.workers[key].is_lost(now, self.config.forget) {
+                self.forget_worker(now, key, Departure::Silent, out);
+                continue;
+            }
             self.look(now, key, out);
         }
     }
--- a/crates/celerywinch_pool/src/results.rs
+++ b/crates/celerywinch_pool/src/results.rs
@@ -257,7 +257,7 @@
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
-        worker.silent += 1;
+        worker.miss(now);
         let retry = if worker.silent <= 2 && !worker.runs.is_empty() {
             std::time::Duration::ZERO
         } else {
--- a/crates/celerywinch_pool/src/worker.rs
+++ b/crates/celerywinch_pool/src/worker.rs
@@ -61,8 +61,10 @@
     pub(crate) patience: Patience,
     /// When to look again though nothing runs.
     pub(crate) look_at: Time,
-    /// Looks and orders in a row without an answer.
+    /// Looks and orders in a row without an answer, and when the first of them was noticed.
     pub(crate) silent: u32,
+    missed: Time,
+    /// When it answered last; an idle one is not asked.
     pub(crate) heard: Time,
     /// How much longer than usual work takes there.
     pub(crate) pace: f64,
@@ -93,6 +95,7 @@
             patience: Patience::default(),
             look_at: Time::NEVER,
             silent: 0,
+            missed: now,
             heard: now,
             pace: 1.0,
             failing: 0.0,
@@ -121,6 +124,23 @@
         self.silent = 0;
     }
 
+    /// An order or a look had no answer.
+    pub(crate) fn miss(&mut self, now: Time) {
+        if self.silent == 0 {
+            self.missed = now;
+        }
+        self.silent += 1;
+    }
+
+    /// Whether it was asked in vain for so long, and nothing of this dispatcher can be at work there any more.
+    ///
+    /// That it was not heard for as long says nothing: an idle worker is not asked. A dispatcher that counted
+    /// from the last answer forgot such a worker, and its run with it, when the answer to the first order was
+    /// late, and the caller's task ran a second time elsewhere. Runs are given up with their lease alone.
+    pub(crate) fn is_lost(&self, now: Time, forget: Duration) -> bool {
+        self.silent > 0 && self.runs.is_empty() && now.since(self.missed) > forget
+    }
+
     /// The end of a lease that starts now, on the worker's clock; none before the first reading.
     pub(crate) fn deadline(&self, now: Time, lease: Duration) -> Option<WorkerClock> {
         let (read, clock) = self.clock?;
