Both kinds of looks at a worker share one path from the answer on

Change: a look says what it asks (Question), and one function takes the answer. No decision changes: the tests of the pool pass.

--- a/crates/celerywinch_pool/src/call.rs
+++ b/crates/celerywinch_pool/src/call.rs
@@ -142,8 +142,16 @@
     Start(crate::run::RunKey),
     Stop(crate::run::RunKey),
     StopAlien(crate::worker::WorkerKey),
-    Look(crate::worker::WorkerKey, LookKind),
-    Check(crate::worker::WorkerKey, LookKind),
+    Look(crate::worker::WorkerKey, Question, LookKind),
+}
+
+/// Why a worker is looked at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Question {
+    /// For ends; one after the other.
+    Ends,
+    /// Beside that, and answered at once: what became of an order without an answer.
+    Order,
 }
 
 /// A look that is under way.
--- a/crates/celerywinch_pool/src/leases.rs
+++ b/crates/celerywinch_pool/src/leases.rs
@@ -4,7 +4,7 @@
 
 use celerywinch_types::{Domain, Time, WorkerClock};
 
-use crate::call::{LookKind, Order, Pending};
+use crate::call::{LookKind, Order, Pending, Question};
 use crate::pool::{Output, Pool};
 use crate::run::{Phase, RunKey};
 use crate::worker::{Grip, WorkerKey};
@@ -72,7 +72,7 @@
             cursor,
             wait,
         };
-        let call = self.call(key, Pending::Look(key, kind), order, out);
+        let call = self.call(key, Pending::Look(key, Question::Ends, kind), order, out);
         self.workers[key].look = call;
     }
 
@@ -106,7 +106,7 @@
             cursor,
             wait: 0,
         };
-        let call = self.call(key, Pending::Check(key, kind), order, out);
+        let call = self.call(key, Pending::Look(key, Question::Order, kind), order, out);
         self.workers[key].check = call;
     }
 
--- a/crates/celerywinch_pool/src/pool.rs
+++ b/crates/celerywinch_pool/src/pool.rs
@@ -9,7 +9,7 @@
 };
 use slotmap::SlotMap;
 
-use crate::call::{Answer, Call, CallKey, Order, Pending};
+use crate::call::{Answer, Call, CallKey, Order, Pending, Question};
 use crate::grants::{Grant, Grants};
 use crate::inflow::Inflow;
 use crate::job::{Batch, BatchKey, TaskState};
@@ -182,10 +182,13 @@
     /// Whether a call only asks an idle worker for a sign of life.
     fn is_routine(&self, call: Pending) -> bool {
         match call {
-            Pending::Look(worker, _) => self.workers.get(worker).is_some_and(Worker::is_settled),
-            Pending::Check(..) | Pending::Start(_) | Pending::Stop(_) | Pending::StopAlien(_) => {
-                false
+            Pending::Look(worker, Question::Ends, _) => {
+                self.workers.get(worker).is_some_and(Worker::is_settled)
             }
+            Pending::Look(_, Question::Order, _)
+            | Pending::Start(_)
+            | Pending::Stop(_)
+            | Pending::StopAlien(_) => false,
         }
     }
 
--- a/crates/celerywinch_pool/src/results.rs
+++ b/crates/celerywinch_pool/src/results.rs
@@ -2,7 +2,9 @@
 
 use celerywinch_types::{RunNumber, TaskEnd, Time, WorkerClock, WorkerStage};
 
-use crate::call::{Answer, CallKey, EndedRow, How, LookKind, Pending, Reject, RunningRow};
+use crate::call::{
+    Answer, CallKey, EndedRow, How, LookKind, Pending, Question, Reject, RunningRow,
+};
 use crate::job::BatchKey;
 use crate::pool::{Output, Pool};
 use crate::run::{Phase, Run, RunKey};
@@ -35,26 +37,15 @@
             }
             // Of a worker that was given up meanwhile the lists tell of another dispatcher's work, and to
             // take note of ends would hide them when the worker is taken over again.
-            Pending::Look(worker, kind) if self.awaits(worker, key) => {
-                self.look_answered(now, worker, kind, answer, out);
-            }
-            Pending::Check(worker, kind) if self.awaits_check(worker, key) => {
-                self.check_answered(now, worker, kind, answer, out);
+            Pending::Look(worker, question, kind) => {
+                let looked = self.workers.get_mut(worker);
+                if looked.is_some_and(|worker| *worker.asked(question) == Some(key)) {
+                    self.look_answered(now, worker, question, kind, answer, out);
+                }
             }
-            Pending::Look(..) | Pending::Check(..) => {}
         }
     }
 
-    fn awaits(&self, worker: WorkerKey, look: CallKey) -> bool {
-        let worker = self.workers.get(worker);
-        worker.is_some_and(|worker| worker.look == Some(look))
-    }
-
-    fn awaits_check(&self, worker: WorkerKey, check: CallKey) -> bool {
-        let worker = self.workers.get(worker);
-        worker.is_some_and(|worker| worker.check == Some(check))
-    }
-
     fn read_clock(&mut self, now: Time, worker: WorkerKey, clock: WorkerClock) {
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.read_clock(now, clock);
@@ -191,6 +182,7 @@
         &mut self,
         now: Time,
         key: WorkerKey,
+        question: Question,
         kind: LookKind,
         answer: Answer,
         out: &mut Vec<Output>,
@@ -198,39 +190,7 @@
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
-        worker.look = None;
-        match answer {
-            Answer::Lists {
-                clock,
-                running,
-                ended,
-            } => {
-                worker.read_clock(now, clock);
-                worker.acknowledged = worker.acknowledged.max(kind.cursor);
-                self.take_lists(now, key, kind, &running, &ended, out);
-            }
-            Answer::Rejected(Reject::Fence, _) => out.push(Output::Outbid(worker.domain)),
-            Answer::OtherLife => self.forget_worker(now, key, Departure::OtherLife, out),
-            Answer::Taken(_) | Answer::Rejected(..) | Answer::Refused | Answer::Silent => {
-                self.missed(now, key, out);
-            }
-        }
-        self.look(now, key, out);
-    }
-
-    /// What a worker has, asked for since an order had no answer.
-    fn check_answered(
-        &mut self,
-        now: Time,
-        key: WorkerKey,
-        kind: LookKind,
-        answer: Answer,
-        out: &mut Vec<Output>,
-    ) {
-        let Some(worker) = self.workers.get_mut(key) else {
-            return;
-        };
-        worker.check = None;
+        *worker.asked(question) = None;
         match answer {
             Answer::Lists {
                 clock,
@@ -240,8 +200,10 @@
                 worker.read_clock(now, clock);
                 worker.acknowledged = worker.acknowledged.max(kind.cursor);
                 self.take_lists(now, key, kind, &running, &ended, out);
-                // What is still in doubt was not there: a stop keeps it from starting later.
-                self.tend_runs(now, out);
+                if question == Question::Order {
+                    // What is still in doubt was not there: a stop keeps it from starting later.
+                    self.tend_runs(now, out);
+                }
             }
             Answer::Rejected(Reject::Fence, _) => out.push(Output::Outbid(worker.domain)),
             Answer::OtherLife => self.forget_worker(now, key, Departure::OtherLife, out),
--- a/crates/celerywinch_pool/src/worker.rs
+++ b/crates/celerywinch_pool/src/worker.rs
@@ -5,7 +5,7 @@
 use celerywinch_types::{Domain, Room, Time, WorkerClock, WorkerNote, WorkerStage, stable_hash};
 use slotmap::new_key_type;
 
-use crate::call::CallKey;
+use crate::call::{CallKey, Question};
 use crate::config::{CLOCK_ERROR, LEASE_MARGIN, OLDEST_READING};
 use crate::patience::Patience;
 use crate::run::RunKey;
@@ -130,6 +130,14 @@
         idle && self.grip == Grip::Held && self.silent == 0 && self.cursor == self.acknowledged
     }
 
+    /// The look of a kind that is under way.
+    pub(crate) fn asked(&mut self, question: Question) -> &mut Option<CallKey> {
+        match question {
+            Question::Ends => &mut self.look,
+            Question::Order => &mut self.check,
+        }
+    }
+
     /// An order or a look had no answer.
     pub(crate) fn miss(&mut self, now: Time) {
         if self.silent == 0 {
