A test: a worker that says that it leaves has not ended what it runs

`Pool::worker` forgets a worker at once when it hears that it leaves, and starts its runs elsewhere. The worker's message may be acknowledged late or not at all (its link towards it is cut one way, or full), and then it goes on for some seconds: two runs of one task.

Ruled out: that the message is passed on wrongly (only a worker's own DELETE sets `Gone`, roster.rs `left`).

--- /dev/null
+++ b/crates/celerywinch_pool/tests/leaving.rs
@@ -0,0 +1,97 @@
+//! Tasks of workers that say that they leave.
+
+mod rig;
+
+use celerywinch_pool::{Answer, How, Input};
+use celerywinch_types::{Doubt, WorkerNote, WorkerStage};
+use rig::{Rig, clock, ended, is_look, is_start, lists, note, row, step};
+use rstest::rstest;
+
+/// What a worker does after it has said that it leaves.
+#[derive(Clone, Copy)]
+enum Then {
+    /// It goes on: the acknowledgement was lost.
+    Works,
+    /// It ends.
+    Silent,
+    /// It ends its runs first, and lists them.
+    Ends,
+}
+
+impl Then {
+    fn answer(self) -> Answer {
+        match self {
+            Self::Works => lists(vec![row(1)], Vec::new()),
+            Self::Silent => Answer::Silent,
+            Self::Ends => lists(Vec::new(), vec![ended(1, How::Cut)]),
+        }
+    }
+}
+
+struct Case {
+    then: Then,
+    /// How often the task was started 400 ms and 900 ms after the worker's last word.
+    starts: [usize; 2],
+}
+
+fn gone(id: &str, port: u16) -> WorkerNote {
+    WorkerNote {
+        stage: WorkerStage::Gone,
+        ..note(id, port)
+    }
+}
+
+/// Answers the looks at the worker that leaves, for so many ms.
+fn pass(rig: &mut Rig, then: Then, ms: u64) {
+    let mut answered = Vec::new();
+    for _ in 0..ms / 20 {
+        let looks = rig.calls.iter();
+        let open = looks.filter(|call| call.worker == "w1" && is_look(&call.order));
+        let open: Vec<_> = open.cloned().collect();
+        for look in open {
+            if !answered.contains(&look.key) {
+                answered.push(look.key);
+                rig.answer(&look, then.answer());
+            }
+        }
+        rig.wait(20);
+    }
+}
+
+/// A caller's task runs twice: a worker says that it leaves, the acknowledgement is lost on its way back, and the
+/// worker goes on for seconds, while its dispatcher has heard of it and starts the task elsewhere at once.
+/// That a worker leaves does not show that it has ended what it runs: its list does, or the end of its lease.
+#[rstest]
+#[case::acknowledgement_lost(Case { then: Then::Works, starts: [1, 1] })]
+#[case::silent(Case { then: Then::Silent, starts: [1, 2] })]
+#[case::ended_before(Case { then: Then::Ends, starts: [2, 2] })]
+fn task_of_a_worker_that_leaves_waits_for_its_end(#[case] case: Case) {
+    let mut rig = Rig::new(Vec::new(), Vec::new());
+    rig.submit(step(Doubt::None, 0));
+    let start = rig.last(is_start);
+    rig.answer(&start, Answer::Taken(clock()));
+    rig.take(Input::Workers(vec![note("w2", 2)]));
+    let other = rig.last(is_look);
+    rig.answer(&other, lists(Vec::new(), Vec::new()));
+    rig.take(Input::Workers(vec![gone("w1", 1)]));
+    pass(&mut rig, case.then, 400);
+    let early = rig.count(is_start);
+    pass(&mut rig, case.then, 500);
+    assert_eq!([early, rig.count(is_start)], case.starts);
+}
+
+/// A worker that has left stays in the list for ever, and counts among those that are divided.
+#[rstest]
+#[case::idle(false)]
+#[case::at_work(true)]
+fn worker_that_has_left_is_forgotten(#[case] busy: bool) {
+    let mut rig = Rig::new(Vec::new(), Vec::new());
+    if busy {
+        rig.submit(step(Doubt::None, 0));
+        let start = rig.last(is_start);
+        rig.answer(&start, Answer::Taken(clock()));
+    }
+    rig.take(Input::Workers(vec![gone("w1", 1)]));
+    pass(&mut rig, Then::Silent, 900);
+    assert_eq!(rig.pool.known_workers(), 0);
+}
