A worker that says that it leaves is waited for until its runs have ended

Cause: as the test before this commit tells: `Gone` was taken for the end of all that runs there.

Ruled out: to wait only where the worker is silent (it may answer looks and go on); to forget it at once and to hold back only its tasks (a result that it lists meanwhile would be lost, and the task done again).

Change: the worker stays known with the stage `Gone`, gets no new work (`Worker::takes` wants `Ready`), and is looked at as before; the tick forgets it when no run of this dispatcher is left there, by its list or by the end of its lease. One without runs is forgotten at once, as before. What it announces after that is ignored while it is known.

--- a/crates/celerywinch_pool/src/leases.rs
+++ b/crates/celerywinch_pool/src/leases.rs
@@ -122,7 +122,9 @@
             if worker.silent > 0 && worker.lease <= now && !worker.runs.is_empty() {
                 self.lapse(now, key, out);
             }
-            self.look(now, key, out);
+            if !self.forget_if_left(now, key, out) {
+                self.look(now, key, out);
+            }
         }
     }
 
--- a/crates/celerywinch_pool/src/pool.rs
+++ b/crates/celerywinch_pool/src/pool.rs
@@ -236,7 +236,7 @@
         let known = self.names.get(&note.id).copied();
         if note.stage == WorkerStage::Gone {
             if let Some(key) = known {
-                self.forget_worker(now, key, "it has left", out);
+                self.worker_leaves(now, key, out);
             }
             return;
         }
@@ -246,7 +246,8 @@
         };
         let worker = &mut self.workers[key];
         // A late announcement must not bring an earlier state back.
-        if note.sequence > worker.note.sequence {
+        let left = worker.note.stage == WorkerStage::Gone;
+        if !left && note.sequence > worker.note.sequence {
             let addr = std::mem::replace(&mut worker.note, note).addr;
             let new = worker.note.addr;
             if addr != new {
@@ -256,6 +257,30 @@
         }
     }
 
+    /// A worker says that it leaves.
+    ///
+    /// If the acknowledgement is lost, it goes on for seconds, and a task started elsewhere would run twice.
+    /// So it stays known, without new work, until it lists the ends of its runs or the lease is over.
+    fn worker_leaves(&mut self, now: Time, key: WorkerKey, out: &mut Vec<Output>) {
+        self.workers[key].note.stage = WorkerStage::Gone;
+        self.forget_if_left(now, key, out);
+    }
+
+    /// Forgets a worker that has left, once nothing runs there; whether it did.
+    pub(crate) fn forget_if_left(
+        &mut self,
+        now: Time,
+        key: WorkerKey,
+        out: &mut Vec<Output>,
+    ) -> bool {
+        let worker = &self.workers[key];
+        let over = worker.note.stage == WorkerStage::Gone && worker.runs.is_empty();
+        if over {
+            self.forget_worker(now, key, "it has left", out);
+        }
+        over
+    }
+
     pub(crate) fn forget_addr(&mut self, addr: SocketAddr) {
         if let Some(lives) = self.addrs.get_mut(&addr) {
             *lives -= 1;
