A test: nothing extends the lease of a run that was taken back and is not stopped yet

A run that nobody wants any more (caller left, origin dropped it, grant over for good) has no batch, and `has_suspended` answers false for runs without one. So where its stop has no answer and looks have, each look extends its lease, and a start of another task on that worker too. The origin waits 1,400 ms, a successor 1,100 ms, and a caller sends its job again after 1,300 ms, all counted from the end of extensions; nothing bounds the run.

Ruled out: that the missed stop makes the worker silent and so ends the extensions (the next look that is answered resets it: every second call of the test).

--- a/crates/celerywinch_pool/tests/grants.rs
+++ b/crates/celerywinch_pool/tests/grants.rs
@@ -136,6 +136,99 @@
     assert_eq!(remote.rig.count(is_stop), 1);
 }
 
+/// How a task is taken back from a dispatcher.
+enum TakenBack {
+    /// Its caller has left.
+    Cancelled,
+    /// Its origin has it done elsewhere.
+    Dropped,
+    /// The grant of its origin is over for good.
+    WithoutGrant,
+}
+
+/// A task runs twice: its origin takes it back and waits for the end of its lease before it has it done
+/// elsewhere, but the stop of its run is lost, or is carried out seconds later, while looks at the worker are
+/// answered. Each of them would extend the lease, and nothing would bound the run until a stop gets through.
+#[rstest]
+#[case::cancelled(TakenBack::Cancelled)]
+#[case::dropped(TakenBack::Dropped)]
+#[case::without_a_grant(TakenBack::WithoutGrant)]
+fn lease_is_not_extended_beside_a_run_that_is_not_stopped_yet(#[case] how: TakenBack) {
+    let mut remote = Remote::new();
+    remote.hand_in(0, Doubt::None);
+    let start = remote.rig.last(is_start);
+    remote.rig.answer(&start, Answer::Taken(clock()));
+    let look = remote.rig.last(is_look);
+    remote.rig.answer(&look, lists(vec![row(1)], Vec::new()));
+    let last = 1;
+    match how {
+        TakenBack::Cancelled => {
+            let job = rig::JOB;
+            let cancel = WorkMsg::Cancel { job, last };
+            remote.rig.take(Input::Work(REMOTE, cancel));
+        }
+        TakenBack::Dropped => {
+            let tasks = vec![rig::task(0)];
+            let drop = WorkMsg::Drop { tasks, last };
+            remote.rig.take(Input::Work(REMOTE, drop));
+        }
+        TakenBack::WithoutGrant => remote.rig.wait(810),
+    }
+    let before = remote.rig.calls.len();
+    let mut answered = Vec::new();
+    for _ in 0..100 {
+        let calls = remote.rig.calls.clone();
+        let open = calls.iter().filter(|call| !answered.contains(&call.key));
+        let open: Vec<_> = open.cloned().collect();
+        for call in open {
+            answered.push(call.key);
+            let answer = match call.order {
+                Order::Look { .. } => lists(vec![row(1)], Vec::new()),
+                Order::Start { .. } | Order::Stop { .. } => Answer::Silent,
+            };
+            remote.rig.answer(&call, answer);
+        }
+        remote.rig.wait(10);
+    }
+    let calls = &remote.rig.calls[before..];
+    let extends = |order: &Order| {
+        matches!(
+            order,
+            Order::Look {
+                deadline: Some(_),
+                ..
+            }
+        )
+    };
+    let extended = calls.iter().filter(|call| extends(&call.order)).count();
+    assert_eq!(extended, 0, "of {} calls", calls.len());
+}
+
+/// A worker that stops a run that is not wanted gets no other work until it has taken the stop: a start would
+/// extend the lease of all that runs there. After that it does.
+#[rstest]
+#[case::not_taken(None, 0)]
+#[case::taken(Some(Answer::Taken(clock())), 1)]
+fn worker_is_used_again_once_a_stop_is_taken(#[case] stop: Option<Answer>, #[case] more: usize) {
+    let mut rig = Rig::new(Vec::new(), Vec::new());
+    rig.submit(step(Doubt::None, 0));
+    let start = rig.last(is_start);
+    rig.answer(&start, Answer::Taken(clock()));
+    let cancel = WorkMsg::Cancel {
+        job: rig::JOB,
+        last: 1,
+    };
+    rig.take(Input::Work(ORIGIN, cancel));
+    if let Some(answer) = stop {
+        let call = rig.last(is_stop);
+        rig.answer(&call, answer);
+    }
+    let mut other = step(Doubt::None, 0);
+    other.job = JobId(78);
+    rig.submit(other);
+    assert_eq!(rig.count(is_start), 1 + more);
+}
+
 /// A caller waits until its deadline: it sent its job to another entry, and the first one, which has it
 /// still, names it again after a break of its link; what becomes of the job is told to the first one
 /// alone. The entry that got the job last keeps it, and the other gives its caller a final answer.
