Nothing extends the lease of a run that was taken back and is not stopped yet

Cause: as the test before this commit tells: a run without a batch did not count as suspended, so looks and starts on its worker extended its lease while its stop got no answer.

Ruled out: to hold the worker back until the run's end is listed (50 ms more without work after each caller that leaves; once the stop is taken the run ends by itself, whatever its lease); to extend nothing, but go on placing tasks there (a start carries a deadline for all that runs on the worker).

Change: `has_suspended` counts a run without a batch until the worker has taken its stop.

Conclusion: such a run is over 841 ms after it was taken back at the latest; the origin waits 1,400, a successor 1,100, a caller 1,300. A worker gets no work for the round trip of a stop.

--- a/crates/celerywinch_pool/src/grants.rs
+++ b/crates/celerywinch_pool/src/grants.rs
@@ -146,11 +146,14 @@
 
     /// Whether a task runs on a worker that may not be started any more: its origin waits for the end of its
     /// lease before it has it done elsewhere, so nothing may extend that.
+    ///
+    /// Nor may it for a run that was taken back, until the worker has taken the stop: where stops are lost and
+    /// looks are answered, the run would go on beside the one that its task has elsewhere by then.
     pub(crate) fn has_suspended(&self, now: Time, worker: &Worker) -> bool {
         worker.runs.iter().any(|key| {
             let run = &self.runs[*key];
             let Some(batch) = run.batch.and_then(|batch| self.batches.get(batch)) else {
-                return false;
+                return !run.stopped;
             };
             let task = batch.tasks.get(&run.task.index);
             task.is_some_and(|task| !self.may_start(now, batch.origin, task))
