A run that was adopted is waited for until the longest lease that it can have

The dispatcher before may have counted the deadline from a reading of the worker's clock that was seconds old, and on a slow clock the lease is then up to 1,000 ms of that clock.

Ruled out: to take the longest lease wherever a worker is taken over (where nothing runs, no lease of another is left, for its token is void there; the first tasks started there would wait 200 ms longer if the worker falls silent).

Change: `Worker::longest` (1,000 ms, 2% clock error, 25 ms), for workers on which runs are found.

--- a/crates/celerywinch_pool/src/config.rs
+++ b/crates/celerywinch_pool/src/config.rs
@@ -4,6 +4,10 @@
 
 /// How slow a worker's steady clock may be; by the users' page.
 pub const CLOCK_ERROR: f64 = 0.02;
+/// Workers shorten longer leases to this, by their own clocks; by the users' page. A deadline is counted from the
+/// last reading of a worker's clock: on one that was idle for long, and whose clock is slow, the lease is
+/// longer than asked for, up to this.
+pub(crate) const LONGEST_LEASE: Duration = Duration::from_millis(1_000);
 /// Allowance for the rounding of times to whole ms and for a message under way, added to the end of
 /// a lease.
 pub(crate) const LEASE_MARGIN: Duration = Duration::from_millis(25);
--- a/crates/celerywinch_pool/src/takeover.rs
+++ b/crates/celerywinch_pool/src/takeover.rs
@@ -10,7 +10,7 @@
 use crate::pool::{Output, Pool};
 use crate::queue::Queue;
 use crate::run::{Phase, Run};
-use crate::worker::{Grip, WorkerKey};
+use crate::worker::{Grip, Worker, WorkerKey};
 
 /// How long ends found at a takeover wait for their origins.
 const KEEP_ENDS: std::time::Duration = std::time::Duration::from_secs(3);
@@ -46,7 +46,7 @@
         out: &mut Vec<Output>,
     ) {
         self.held.insert(domain, fence);
-        let here = |worker: &crate::worker::Worker| worker.domain == domain;
+        let here = |worker: &Worker| worker.domain == domain;
         let workers = self.workers.iter().filter(|(_, w)| here(w));
         let keys: Vec<_> = workers.map(|(key, _)| key).collect();
         out.push(Output::Note(Note::Acquired {
@@ -90,7 +90,9 @@
         worker.grip = Grip::Held;
         // The dispatcher before may have extended the lease just now. Without that, runs that are
         // adopted would be taken for ended as soon as the worker misses a call.
-        worker.lease = worker.lease.max(worker.bound(now, self.config.lease));
+        if !running.is_empty() {
+            worker.lease = worker.lease.max(Worker::longest(now));
+        }
         worker.aliens = running.len();
         worker.look_at = now + self.config.tidy;
         out.push(Output::Note(Note::WorkerHeld {
@@ -284,7 +286,7 @@
     /// waits goes back if nothing is held any more.
     pub(crate) fn resign(&mut self, now: Time, domain: Domain, out: &mut Vec<Output>) {
         self.held.remove(&domain);
-        let here = |worker: &crate::worker::Worker| worker.domain == domain;
+        let here = |worker: &Worker| worker.domain == domain;
         let workers = self.workers.iter().filter(|(_, w)| here(w));
         let keys: Vec<_> = workers.map(|(key, _)| key).collect();
         let mut given = 0;
--- a/crates/celerywinch_pool/src/worker.rs
+++ b/crates/celerywinch_pool/src/worker.rs
@@ -6,7 +6,7 @@
 use slotmap::new_key_type;
 
 use crate::call::CallKey;
-use crate::config::{CLOCK_ERROR, LEASE_MARGIN};
+use crate::config::{CLOCK_ERROR, LEASE_MARGIN, LONGEST_LEASE};
 use crate::patience::Patience;
 use crate::run::RunKey;
 
@@ -136,6 +136,11 @@
         now + lease + drift + LEASE_MARGIN
     }
 
+    /// The latest moment at which a lease that another dispatcher has asked for by now can end.
+    pub(crate) fn longest(now: Time) -> Time {
+        now + LONGEST_LEASE.mul_f64(1.0 + CLOCK_ERROR) + LEASE_MARGIN
+    }
+
     /// Whether a new task may be sent there.
     pub(crate) fn takes(&self, now: Time) -> bool {
         let sound = self.grip == Grip::Held && self.silent == 0 && self.aliens == 0;
