A test: a worker that has left is not brought back by an older announcement

Keepers tell entries of workers and not each other, and each tells all that it knows to a process that it hears anew. A worker's last message goes to one of them; another one that heard it while it was ready keeps that for 20 s. The dispatcher forgets a worker that has left together with the number of its last announcement, so the older one counts as news: a worker that drains, and serves for some seconds more, would get work (DRAIN), one that has ended is called for 20 s.

Ruled out: two runs of one task by it (the worker is looked at first, and its answer tells whether the life is the same).

--- a/crates/celerywinch_pool/tests/leaving.rs
+++ b/crates/celerywinch_pool/tests/leaving.rs
@@ -95,3 +95,22 @@
     pass(&mut rig, Then::Silent, 900);
     assert_eq!(rig.pool.known_workers(), 0);
 }
+
+/// A worker that drains gets work again: it has left by what one keeper was told, and another one, which heard it last
+/// while it was ready, tells of all that it knows when its link is opened anew. If the worker still serves, it
+/// is used; if not, it is called for 20 s in vain.
+#[rstest]
+#[case::known_before(true)]
+#[case::first_heard_of_as_gone(false)]
+fn worker_that_has_left_is_not_brought_back(#[case] known: bool) {
+    let mut rig = Rig::new(Vec::new(), Vec::new());
+    if known {
+        rig.take(Input::Workers(vec![note("w2", 2)]));
+        let look = rig.last(is_look);
+        rig.answer(&look, lists(Vec::new(), Vec::new()));
+    }
+    rig.take(Input::Workers(vec![gone("w2", 2)]));
+    rig.wait(15_000);
+    rig.take(Input::Workers(vec![note("w2", 2)]));
+    assert_eq!(rig.pool.known_workers(), 1, "w1 alone");
+}
