A worker that has left is remembered, and not brought back by an older announcement

Cause: as the test before this commit tells: with the worker its last number was forgotten, and what another keeper still held of it counted as news.

Ruled out: keepers that tell each other of what leaves (a message for each to each, and one that is away at that moment would still tell the older state).

Change: a dispatcher keeps the names of workers that have left for 30 s, longer than a keeper keeps an announcement (20 s), and takes no announcement of them. That a worker which is at work and leaves keeps its stage rests on it too.

A name and a time for each worker that left in the last 30 s are kept.

--- a/crates/celerywinch_pool/src/pool.rs
+++ b/crates/celerywinch_pool/src/pool.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use celerywinch_types::{
     Domain, Fence, InstanceId, JobId, Learned, RunNumber, TaskEnd, TaskId, TaskNews, Time, WorkMsg,
@@ -21,6 +22,10 @@
 use crate::worker::{Grip, Worker, WorkerKey, domain_of};
 use crate::{Note, PoolConfig};
 
+/// A worker that has left is remembered for so long: a keeper that did not hear of it may tell of it as ready for
+/// 20 s after its last announcement there, and a dispatcher that starts work there would break its leave.
+const REMEMBER_LEFT: Duration = Duration::from_secs(30);
+
 /// What happened outside.
 #[derive(Clone, Debug)]
 pub enum Input {
@@ -68,6 +73,8 @@
     shards: u8,
     pub(crate) workers: SlotMap<WorkerKey, Worker>,
     pub(crate) names: BTreeMap<String, WorkerKey>,
+    /// Those that have left, and when that was heard.
+    left: BTreeMap<String, Time>,
     /// How many lives of workers are known at each address.
     pub(crate) addrs: BTreeMap<SocketAddr, usize>,
     pub(crate) batches: SlotMap<BatchKey, Batch>,
@@ -103,6 +110,7 @@
             shards: 1,
             workers: SlotMap::with_key(),
             names: BTreeMap::new(),
+            left: BTreeMap::new(),
             addrs: BTreeMap::new(),
             batches: SlotMap::with_key(),
             jobs: BTreeMap::new(),
@@ -139,7 +147,7 @@
 
     /// Whether a worker of a domain answered within `span`.
     #[must_use]
-    pub fn reaches(&self, now: Time, domain: Domain, span: std::time::Duration) -> bool {
+    pub fn reaches(&self, now: Time, domain: Domain, span: Duration) -> bool {
         let mut there = self.workers.values().filter(|w| w.domain == domain);
         there.any(|w| w.grip == Grip::Held && w.silent == 0 && now.since(w.heard) <= span)
     }
@@ -219,6 +227,8 @@
         self.tend_runs(now, out);
         self.shed(now, out);
         self.told.retain(|_, told| told.is_kept(now));
+        self.left
+            .retain(|_, heard| now.since(*heard) <= REMEMBER_LEFT);
     }
 
     fn work(&mut self, now: Time, from: InstanceId, msg: WorkMsg, out: &mut Vec<Output>) {
@@ -235,19 +245,22 @@
     fn worker(&mut self, now: Time, note: WorkerNote, out: &mut Vec<Output>) {
         let known = self.names.get(&note.id).copied();
         if note.stage == WorkerStage::Gone {
+            self.left.insert(note.id, now);
             if let Some(key) = known {
                 self.worker_leaves(now, key, out);
             }
             return;
         }
+        if self.left.contains_key(&note.id) {
+            return;
+        }
         let Some(key) = known else {
             self.add_worker(now, note, out);
             return;
         };
         let worker = &mut self.workers[key];
         // A late announcement must not bring an earlier state back.
-        let left = worker.note.stage == WorkerStage::Gone;
-        if !left && note.sequence > worker.note.sequence {
+        if note.sequence > worker.note.sequence {
             let addr = std::mem::replace(&mut worker.note, note).addr;
             let new = worker.note.addr;
             if addr != new {
@@ -372,9 +385,7 @@
         let held = &self.workers[worker].note;
         let fence = *self.held.get(&self.workers[worker].domain)?;
         let wait = match order {
-            Order::Look { wait, .. } => {
-                std::time::Duration::from_millis(wait.into()) + self.config.answer
-            }
+            Order::Look { wait, .. } => Duration::from_millis(wait.into()) + self.config.answer,
             Order::Start { .. } | Order::Stop { .. } => {
                 self.workers[worker].patience.wait(self.config.order)
             }
