--- a/crates/celerywinch_member/src/beats.rs
+++ b/crates/celerywinch_member/src/beats.rs
@@ -25,8 +25,8 @@
 const SLOW_ALIVE: Duration = Duration::from_millis(1_750);
 /// A dispatcher may start tasks of an origin for this long after it sent what the origin has heard of it. The
 /// origin takes it for lost `ALIVE` after that at the earliest, or at once where connections are refused. Then
-/// 1,550 ms pass before the tasks are started elsewhere, of which the longest lease and its errors
-/// (1,045 ms) must be left. In ordinary service heartbeats of both sides lie between, 200 ms.
+/// 1,450 ms pass before the tasks are started elsewhere, of which the longest lease and its errors
+/// (931 ms) must be left. In ordinary service heartbeats of both sides lie between, 200 ms.
 const GRANT: Duration = Duration::from_millis(500);
 /// Between two messages with what a dispatcher has learned; it changes by a few percent meanwhile.
 const TEACH: Duration = Duration::from_secs(1);
--- a/crates/celerywinch_origin/src/lost.rs
+++ b/crates/celerywinch_origin/src/lost.rs
@@ -10,9 +10,8 @@
 use crate::origin::{COME_BACK_MS, Origin, Output};
 
 /// A task that may run at a lost dispatcher has ended by then: the time for which the dispatcher may
-/// start it without hearing its origin (500 ms), a lease of a second, its clock error, and messages
-/// under way.
-pub(crate) const SURELY_ENDED: Duration = Duration::from_millis(1_550);
+/// start it without hearing its origin (500 ms), and the longest lease with its errors (931 ms).
+pub(crate) const SURELY_ENDED: Duration = Duration::from_millis(1_450);
 
 /// Tasks that dispatchers may have which were taken for lost, and are not to start any more.
 ///
--- a/crates/celerywinch_pool/src/config.rs
+++ b/crates/celerywinch_pool/src/config.rs
@@ -4,10 +4,6 @@
 
 /// How slow a worker's steady clock may be; by the users' page.
 pub const CLOCK_ERROR: f64 = 0.02;
-/// Workers shorten longer leases to this, by their own clocks; by the users' page. A deadline is counted from the
-/// last reading of a worker's clock: on one that was idle for long, and whose clock is slow, the lease is
-/// longer than asked for, up to this.
-pub(crate) const LONGEST_LEASE: Duration = Duration::from_millis(1_000);
 /// Allowance for the rounding of times to whole ms and for a message under way, added to the end of
 /// a lease.
 pub(crate) const LEASE_MARGIN: Duration = Duration::from_millis(25);
@@ -49,9 +45,8 @@
     /// hear of a new dispatcher within a heartbeat.
     pub adopt: Duration,
     /// How long a task that may run somewhere waits at most before it is started: the time for which an origin
-    /// lets a dispatcher start its tasks (500 ms), the longest lease with its clock error (1,020 ms), and
-    /// 25 ms for rounding and the way. Not less by the silence after which a dispatcher counts as lost: a cut
-    /// that refuses connections makes it count as lost at once.
+    /// lets a dispatcher start its tasks (500 ms), and the longest lease (931 ms). Not less by the silence after
+    /// which a dispatcher counts as lost: a cut that refuses connections makes it count as lost at once.
     pub limbo: Duration,
     /// How long a worker that failed tasks gets none.
     pub aside: Duration,
@@ -74,7 +69,7 @@
             quiet: Duration::from_millis(400),
             retry: Duration::from_millis(250),
             adopt: Duration::from_millis(150),
-            limbo: Duration::from_millis(1_550),
+            limbo: Duration::from_millis(1_450),
             aside: Duration::from_millis(1_500),
             forget: Duration::from_secs(20),
             stop: Duration::from_millis(50),
--- a/crates/celerywinch_pool/src/takeover.rs
+++ b/crates/celerywinch_pool/src/takeover.rs
@@ -91,7 +91,7 @@
         // The dispatcher before may have extended the lease just now. Without that, runs that are
         // adopted would be taken for ended as soon as the worker misses a call.
         if !running.is_empty() {
-            worker.lease = worker.lease.max(Worker::longest(now));
+            worker.lease = worker.lease.max(Worker::longest(now, self.config.lease));
         }
         worker.aliens = running.len();
         worker.look_at = now + self.config.tidy;
--- a/crates/celerywinch_pool/src/worker.rs
+++ b/crates/celerywinch_pool/src/worker.rs
@@ -6,7 +6,7 @@
 use slotmap::new_key_type;
 
 use crate::call::{CallKey, Question};
-use crate::config::{CLOCK_ERROR, LEASE_MARGIN, LONGEST_LEASE, OLDEST_READING};
+use crate::config::{CLOCK_ERROR, LEASE_MARGIN, OLDEST_READING};
 use crate::patience::Patience;
 use crate::run::RunKey;
 
@@ -178,8 +178,9 @@
     }
 
     /// The latest moment at which a lease that another dispatcher has asked for by now can end.
-    pub(crate) fn longest(now: Time) -> Time {
-        now + LONGEST_LEASE.mul_f64(1.0 + CLOCK_ERROR) + LEASE_MARGIN
+    pub(crate) fn longest(now: Time, lease: Duration) -> Time {
+        let drift = (OLDEST_READING + lease).mul_f64(CLOCK_ERROR);
+        now + lease + drift + LEASE_MARGIN
     }
 
     /// Whether a new task may be sent there.
