--- a/crates/celerywinch_fleet/src/core.rs
+++ b/crates/celerywinch_fleet/src/core.rs
@@ -4,7 +4,7 @@
 mod members;
 mod work;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -30,6 +30,7 @@
 use crate::links::{self, LinkHost, Links};
 use crate::metrics::Metrics;
 use crate::roster::Roster;
+use crate::spread::{Spread, SpreadInput, Told};
 use crate::store::{self, StoreIn, StoreOut};
 use crate::{Clock, Fleet, FleetConfig, Port};
 
@@ -123,9 +124,7 @@
     /// When seeds that are not heard got the last heartbeat.
     beaten: Time,
     waiting: HashMap<CallerId, oneshot::Sender<JobEnd>>,
-    /// The configuration in force, as the operator sent it.
-    document: Held,
-    wanted: BTreeMap<InstanceId, Time>,
+    spread: Spread,
     roster: Roster,
     store: Option<Sender<StoreIn>>,
     keeping: HashMap<u64, (Option<u64>, oneshot::Sender<Option<Held>>)>,
@@ -233,8 +232,7 @@
             ticked: now,
             beaten: Time::default(),
             waiting: HashMap::new(),
-            document: Held::default(),
-            wanted: BTreeMap::new(),
+            spread: Spread::new(me.instance, config.part, config.dc),
             roster: Roster::default(),
             keeping: HashMap::new(),
             next_keep: rand::random::<u32>().into(),
@@ -355,9 +353,14 @@
     fn peer(&mut self, now: Time, from: Process, msg: FleetMsg) {
         match msg {
             FleetMsg::Beat(beat) => {
-                let version = beat.version;
+                let told = SpreadInput::Heard(Told {
+                    instance: from.instance,
+                    part: beat.part,
+                    dc: beat.dc,
+                    version: beat.version,
+                });
                 self.input(now, Input::Beat(from, beat));
-                self.want_document(now, from.instance, version);
+                self.spread(now, told);
             }
             FleetMsg::Contacts(contacts) => {
                 let instances: Vec<_> = contacts.iter().map(|c| c.instance).collect();
@@ -366,10 +369,7 @@
             FleetMsg::Log(bytes) => self.to_store(StoreIn::Log(from.instance, bytes)),
             FleetMsg::Keep(msg) => self.keep_msg(from.instance, msg),
             FleetMsg::Workers(notes) => self.input(now, Input::Workers(notes)),
-            FleetMsg::Document { version, document } => {
-                self.put_in_force(now, Held { version, document });
-            }
-            FleetMsg::WantDocument => self.send_document(from.instance),
+            FleetMsg::Spread(msg) => self.spread(now, SpreadInput::Message(from.instance, msg)),
             FleetMsg::Work(msg) => self.input(now, Input::Work(from, msg)),
             FleetMsg::Learned(learned) => self.input(now, Input::Learned(learned)),
         }
--- a/crates/celerywinch_fleet/src/core/keeping.rs
+++ b/crates/celerywinch_fleet/src/core/keeping.rs
@@ -1,17 +1,13 @@
 //! The configuration's keepers, and the workers' announcements.
 
-use std::time::Duration;
-
 use celerywinch_registry::{Held, Request};
-use celerywinch_types::{FleetMsg, InstanceId, KeepMsg, Part, Time, WorkerNote, WorkerStage};
+use celerywinch_types::{FleetMsg, InstanceId, KeepMsg, Time, WorkerNote, WorkerStage};
 use tokio::sync::oneshot;
 
 use super::{Core, CoreNote};
+use crate::spread::{SpreadInput, SpreadOutput};
 use crate::store::{StoreIn, StoreOut};
 
-/// The same process is asked for the configuration again after this time.
-const ASK_AGAIN: Duration = Duration::from_millis(250);
-
 impl Core {
     pub(super) fn to_store(&self, msg: StoreIn) {
         if let Some(store) = &self.store {
@@ -24,13 +20,7 @@
         match out {
             StoreOut::Send(to, msg) => self.links.send(to, msg),
             StoreOut::Answer(id, held) => self.answer_keep(id, held),
-            StoreOut::Committed(held) => {
-                self.put_in_force(now, held);
-                let entries: Vec<_> = self.entries(now);
-                for entry in entries {
-                    self.send_document(entry);
-                }
-            }
+            StoreOut::Committed(held) => self.put_in_force(now, held),
             StoreOut::Workers(notes) => {
                 for note in notes {
                     self.announced(now, note);
@@ -46,28 +36,16 @@
         }
     }
 
-    pub(super) fn send_document(&self, to: InstanceId) {
-        if self.document.version == 0 {
-            return;
-        }
-        let msg = FleetMsg::Document {
-            version: self.document.version,
-            document: self.document.document.clone(),
-        };
-        self.links.send(to, msg);
-    }
-
-    /// Asks a process for its configuration if it has a newer one.
-    pub(super) fn want_document(&mut self, now: Time, from: InstanceId, version: u64) {
-        if self.config.part == Part::Keeper || version <= self.document.version {
-            return;
-        }
-        let asked = self.wanted.get(&from);
-        if asked.is_some_and(|at| now.since(*at) < ASK_AGAIN) {
-            return;
+    /// Carries out what the spread of the configuration wants.
+    pub(super) fn spread(&mut self, now: Time, input: SpreadInput) {
+        let mut out = Vec::new();
+        self.spread.handle(now, input, &mut out);
+        for output in out {
+            match output {
+                SpreadOutput::Send(to, msg) => self.links.send(to, FleetMsg::Spread(msg)),
+                SpreadOutput::Whole(held) => self.put_in_force(now, held),
+            }
         }
-        self.wanted.insert(from, now);
-        self.links.send(from, FleetMsg::WantDocument);
     }
 
     pub(super) fn keep(
--- a/crates/celerywinch_fleet/src/core/work.rs
+++ b/crates/celerywinch_fleet/src/core/work.rs
@@ -11,6 +11,7 @@
 
 use super::{Core, CoreMsg, CoreNote};
 use crate::journal::Kind;
+use crate::spread::SpreadInput;
 
 /// How much longer an answer is waited for that may have arrived and was not read yet. A process with
 /// an eighth of a core stands still for tens of ms when several requests come at once; without this,
@@ -73,7 +74,7 @@
         self.metrics.peers.set(peers as i64);
         self.metrics.workers.set(workers as i64);
         self.metrics.open_jobs.set(self.member.open_jobs() as i64);
-        let version = i64::try_from(self.document.version).unwrap_or(i64::MAX);
+        let version = i64::try_from(self.spread.version()).unwrap_or(i64::MAX);
         self.metrics.version.set(version);
     }
 
@@ -98,7 +99,7 @@
     /// Puts a document in force if it is newer than the one that is. Within one life of a process
     /// the version never falls.
     pub(super) fn put_in_force(&mut self, now: Time, held: Held) {
-        if held.version <= self.document.version {
+        if held.version <= self.spread.version() {
             return;
         }
         match self.port.read_book(&held.document) {
@@ -109,8 +110,8 @@
                 });
                 self.snapshot.book.store(Some(Arc::new(book)));
                 let version = held.version;
-                self.document = held;
                 self.input(now, Input::Version(version));
+                self.spread(now, SpreadInput::Held(held));
             }
             Err(error) => self.note(&CoreNote::BadDocument {
                 version: held.version,
--- a/crates/celerywinch_fleet/src/lib.rs
+++ b/crates/celerywinch_fleet/src/lib.rs
@@ -14,6 +14,7 @@
 mod links;
 mod metrics;
 mod roster;
+mod spread;
 mod store;
 
 pub use clock::Clock;
@@ -21,3 +22,4 @@
 pub use core::start;
 pub use handle::{Fleet, Submitted};
 pub use roster::Roster;
+pub use spread::{Spread, SpreadInput, SpreadOutput, Told};
--- a/crates/celerywinch_types/src/fleet.rs
+++ b/crates/celerywinch_types/src/fleet.rs
@@ -255,6 +255,19 @@
         },
     }
 
+    /// How the configuration spreads from the keepers to the entries.
+    pub enum SpreadMsg {
+        /// The configuration in force at the sender.
+        Document {
+            /// Its version.
+            version: u64,
+            /// As the operator sent it.
+            document: Vec<u8>,
+        },
+        /// Asks for the configuration.
+        Want,
+    }
+
     /// A request to the keepers of the configuration.
     pub enum KeepMsg {
         /// Put this document in force under its version, if it is higher than what is held; none
@@ -323,15 +336,8 @@
     Keep(KeepMsg),
     /// What workers said of themselves.
     Workers(Vec<WorkerNote>),
-    /// The configuration in force at the sender.
-    Document {
-        /// Its version.
-        version: u64,
-        /// As the operator sent it.
-        document: Vec<u8>,
-    },
-    /// Asks for the configuration.
-    WantDocument,
+    /// How the configuration spreads.
+    Spread(SpreadMsg),
     /// Work.
     Work(WorkMsg),
     /// What a dispatcher has learned.
