An entry fetches the configuration in pieces, of one source at a time

Ways weighed: keepers that divide the entries among them and push (a mute or cut keeper leaves its share without the document, unless the entries ask as well); whole documents on request of one source (0.27 s of an entry's link for 840 KB, heartbeats wait as long as now for one copy); a second connection for documents (still shares the machine's link, without a bound); pieces with one under way (chosen: it is the flow control, and 16 KB are 5 ms of such a link).

A keeper sends heartbeats to the entries as soon as a version is in force there. An entry asks for one piece at a time: of a keeper before an entry, of its data centre first, by rendezvous hash; of who sent no piece in time last. The wait for a piece is 150 ms to 1.2 s, by what the one before took; the next source goes on at the same offset. A late piece counts if it is the next one. A source keeps four versions, and of these the ones that are asked for; a transfer that began ends while newer versions come, unless two pieces in a row are missed. The whole is checked (version, length, hash). Lengths that are told are compared, never allocated; requests for what is not there are logged and not answered. A version that cannot be read here is not fetched again. Notes and metrics of transfers.

--- a/crates/celerywinch_fleet/src/core.rs
+++ b/crates/celerywinch_fleet/src/core.rs
@@ -309,6 +309,7 @@
     fn tick(&mut self, now: Time) {
         self.ticked = now;
         self.input(now, Input::Tick);
+        self.spread(now, SpreadInput::Tick);
         self.beat_seeds(now);
         self.roster.forget(now);
         self.save_workers(now);
--- a/crates/celerywinch_fleet/src/core/keeping.rs
+++ b/crates/celerywinch_fleet/src/core/keeping.rs
@@ -5,6 +5,7 @@
 use tokio::sync::oneshot;
 
 use super::{Core, CoreNote};
+use crate::journal::Kind;
 use crate::spread::{SpreadInput, SpreadOutput};
 use crate::store::{StoreIn, StoreOut};
 
@@ -42,8 +43,21 @@
         self.spread.handle(now, input, &mut out);
         for output in out {
             match output {
-                SpreadOutput::Send(to, msg) => self.links.send(to, FleetMsg::Spread(msg)),
+                SpreadOutput::Send(to, msg) => {
+                    self.metrics.spreads(&msg);
+                    self.links.send(to, FleetMsg::Spread(msg));
+                }
+                SpreadOutput::Tell(entries) => {
+                    for entry in entries {
+                        let beat = self.member.beat_for(now, entry);
+                        self.links.send(entry, FleetMsg::Beat(beat));
+                    }
+                }
                 SpreadOutput::Whole(held) => self.put_in_force(now, held),
+                SpreadOutput::Note(note) => {
+                    self.metrics.spread(&note);
+                    self.journal.write(now, "core", Kind::Telling, &note);
+                }
             }
         }
     }
--- a/crates/celerywinch_fleet/src/core/members.rs
+++ b/crates/celerywinch_fleet/src/core/members.rs
@@ -9,6 +9,7 @@
 use celerywinch_types::{Contact, FleetMsg, InstanceId, Part, Process, Time};
 
 use super::Core;
+use crate::spread::SpreadInput;
 use crate::store::StoreIn;
 
 /// Between two heartbeats to seeds that were not heard yet; as often as to others.
@@ -42,7 +43,10 @@
                 self.send_workers(peer);
                 self.input(now, Input::LinkReset(peer));
             }
-            LinkEvent::Refused => self.input(now, Input::Refused(peer)),
+            LinkEvent::Refused => {
+                self.input(now, Input::Refused(peer));
+                self.spread(now, SpreadInput::Lost(peer));
+            }
             LinkEvent::Lost => {}
         }
     }
--- a/crates/celerywinch_fleet/src/core/work.rs
+++ b/crates/celerywinch_fleet/src/core/work.rs
@@ -113,10 +113,13 @@
                 self.input(now, Input::Version(version));
                 self.spread(now, SpreadInput::Held(held));
             }
-            Err(error) => self.note(&CoreNote::BadDocument {
-                version: held.version,
-                error: format!("{error:#}"),
-            }),
+            Err(error) => {
+                self.note(&CoreNote::BadDocument {
+                    version: held.version,
+                    error: format!("{error:#}"),
+                });
+                self.spread(now, SpreadInput::Unreadable(held.version));
+            }
         }
     }
 }
--- a/crates/celerywinch_fleet/src/lib.rs
+++ b/crates/celerywinch_fleet/src/lib.rs
@@ -22,4 +22,4 @@
 pub use core::start;
 pub use handle::{Fleet, Submitted};
 pub use roster::Roster;
-pub use spread::{Spread, SpreadInput, SpreadOutput, Told};
+pub use spread::{Spread, SpreadInput, SpreadNote, SpreadOutput, Told};
--- a/crates/celerywinch_fleet/src/metrics.rs
+++ b/crates/celerywinch_fleet/src/metrics.rs
@@ -5,13 +5,18 @@
 use celerywinch_metrics::Meter;
 use celerywinch_origin::JobNote;
 use celerywinch_pool::Note;
-use celerywinch_types::JobEnd;
+use celerywinch_types::{JobEnd, SpreadMsg};
 use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
 
+use crate::spread::SpreadNote;
+
 /// Bounds of the time to an answer, in seconds: objectives are 0.1 to a few s.
 const JOB_SECONDS: &[f64] = &[0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.75, 1.0, 1.5, 2.5, 5.0];
 
-/// Counters, gauges and a histogram; every clone counts into the same ones.
+/// Bounds of the time to a configuration, in seconds: it should be in force everywhere within 2 s.
+const DOCUMENT_SECONDS: &[f64] = &[0.01, 0.03, 0.1, 0.2, 0.5, 1.0, 1.5, 2.0, 4.0];
+
+/// Counters, gauges and histograms; every clone counts into the same ones.
 #[derive(Clone, Debug)]
 pub(crate) struct Metrics {
     meter: Meter,
@@ -22,6 +27,9 @@
     moved: IntCounter,
     aside: IntCounter,
     changes: IntCounter,
+    documents: IntCounter,
+    document_bytes: IntCounter,
+    document_seconds: Histogram,
     pub(crate) peers: IntGauge,
     pub(crate) workers: IntGauge,
     pub(crate) open_jobs: IntGauge,
@@ -43,6 +51,17 @@
             moved: meter.counter("moved_total", "Runs stopped for too little progress.")?,
             aside: meter.counter("aside_total", "Times a worker was set aside.")?,
             changes: meter.counter("changes_total", "Domains acquired or resigned here.")?,
+            documents: meter.counter(
+                "documents_total",
+                "Copies of the configuration begun to be sent.",
+            )?,
+            document_bytes: meter
+                .counter("document_bytes_total", "Bytes of the configuration sent.")?,
+            document_seconds: meter.histogram(
+                "document_seconds",
+                "Seconds from first hearing of a configuration until it is here.",
+                DOCUMENT_SECONDS,
+            )?,
             peers: meter.gauge("peers", "Processes that are heard.")?,
             workers: meter.gauge("workers", "Workers that obey this dispatcher.")?,
             open_jobs: meter.gauge("open_jobs", "Jobs of callers that are open.")?,
@@ -83,6 +102,23 @@
         }
     }
 
+    /// A message of the configuration is sent.
+    pub(crate) fn spreads(&self, msg: &SpreadMsg) {
+        if let SpreadMsg::Piece(piece) = msg {
+            self.document_bytes.inc_by(piece.bytes.len() as u64);
+            if piece.offset == 0 {
+                self.documents.inc();
+            }
+        }
+    }
+
+    pub(crate) fn spread(&self, note: &SpreadNote) {
+        if let SpreadNote::DocumentWhole { took, .. } = note {
+            let took = Duration::from_millis((*took).into());
+            self.document_seconds.observe(took.as_secs_f64());
+        }
+    }
+
     /// All figures as text.
     pub(crate) fn text(&self) -> String {
         self.meter.text().unwrap_or_else(|error| {
--- a/crates/celerywinch_fleet/src/spread.rs
+++ b/crates/celerywinch_fleet/src/spread.rs
@@ -1,15 +1,30 @@
 //! How the configuration spreads from the keepers to the entries.
+//!
+//! Keepers tell at once that a version is in force, by a heartbeat. An entry fetches it in pieces, of one process at a
+//! time and one after the other: the piece that is under way is all that heartbeats and answers of workers ever
+//! wait behind. [`Spread`] is a state machine without clock or socket.
 
+mod copies;
+mod transfer;
+
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use celerywinch_registry::Held;
-use celerywinch_types::{DataCentreId, InstanceId, Part, SpreadMsg, Time};
+use celerywinch_types::{DataCentreId, InstanceId, Part, Piece, SpreadMsg, Time, score};
+use serde::Serialize;
+
+use copies::Copies;
+use transfer::{Taken, Transfer};
 
-/// The same process is asked for the configuration again after this time.
-const ASK_AGAIN: Duration = Duration::from_millis(250);
-/// A process that was not heard for this long is sent nothing; the window of slow heartbeats.
+/// A process that was not heard for this long is not asked; the window of slow heartbeats.
 const HEARD: Duration = Duration::from_millis(1_750);
+/// One that sent no piece in time is asked after all others for this long. Pauses of a process and resets of
+/// links are shorter.
+const SILENT: Duration = Duration::from_secs(2);
+/// After so many missed pieces in a row the newest version is asked for: no process may have the one under way.
+const MISSES: u32 = 2;
 
 /// What a heartbeat tells of its sender.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,21 +44,86 @@
 pub enum SpreadInput {
     /// A heartbeat.
     Heard(Told),
+    /// No process listens there.
+    Lost(InstanceId),
     /// A message of another process.
     Message(InstanceId, SpreadMsg),
     /// This document is in force here.
     Held(Held),
+    /// The document of this version cannot be read here.
+    Unreadable(u64),
     /// Time passed.
     Tick,
 }
 
 /// What the host is to do.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum SpreadOutput {
     /// Send a message.
     Send(InstanceId, SpreadMsg),
+    /// Send heartbeats at once: another version is in force here.
+    Tell(Vec<InstanceId>),
     /// A document has come: read it, and put it in force.
     Whole(Held),
+    /// For the logs.
+    Note(SpreadNote),
+}
+
+/// A decision, for the logs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub enum SpreadNote {
+    /// A transfer begins.
+    DocumentBegun {
+        /// The version.
+        version: u64,
+        /// Who is asked.
+        source: InstanceId,
+    },
+    /// It goes on with another source.
+    DocumentMoved {
+        /// The version.
+        version: u64,
+        /// Who was asked before.
+        from: InstanceId,
+        /// Who is asked now.
+        to: InstanceId,
+        /// Bytes that are here.
+        offset: u64,
+        /// Whether the one before sent nothing in time.
+        silent: bool,
+    },
+    /// It is done.
+    DocumentWhole {
+        /// The version.
+        version: u64,
+        /// Bytes of the document.
+        bytes: u64,
+        /// Ms since the version was first heard of.
+        took: u32,
+        /// How many processes were asked.
+        sources: usize,
+    },
+    /// It ends without the document.
+    DocumentDropped {
+        /// The version.
+        version: u64,
+        /// Who sent the last piece, or did not.
+        source: InstanceId,
+        /// Bytes that were here.
+        offset: u64,
+        /// Why.
+        reason: &'static str,
+    },
+    /// A process asks for what is not here.
+    DocumentUnknown {
+        /// Who asks.
+        from: InstanceId,
+        /// For which version.
+        version: u64,
+        /// From which byte on.
+        offset: u64,
+    },
 }
 
 /// What this process has of the configuration, and what it knows of the others.
@@ -51,80 +131,258 @@
 pub struct Spread {
     me: InstanceId,
     part: Part,
-    held: Held,
+    dc: DataCentreId,
+    copies: Copies,
     heard: BTreeMap<InstanceId, (Told, Time)>,
-    asked: BTreeMap<InstanceId, Time>,
+    /// Who sent no piece in time, and when that was.
+    silent: BTreeMap<InstanceId, Time>,
+    /// The highest version that was heard of, and when it was.
+    news: (u64, Time),
+    /// The highest version that cannot be read here.
+    unreadable: u64,
+    transfer: Option<Transfer>,
 }
 
 impl Spread {
     /// Nothing is known yet.
     #[must_use]
-    pub fn new(me: InstanceId, part: Part, _dc: DataCentreId) -> Self {
+    pub fn new(me: InstanceId, part: Part, dc: DataCentreId) -> Self {
         Self {
             me,
             part,
-            held: Held::default(),
+            dc,
+            copies: Copies::default(),
             heard: BTreeMap::new(),
-            asked: BTreeMap::new(),
+            silent: BTreeMap::new(),
+            news: (0, Time::default()),
+            unreadable: 0,
+            transfer: None,
         }
     }
 
     /// The version in force; 0 if none is.
     #[must_use]
     pub fn version(&self) -> u64 {
-        self.held.version
+        self.copies.version()
     }
 
     /// Takes an input and appends what the host is to do.
     pub fn handle(&mut self, now: Time, input: SpreadInput, out: &mut Vec<SpreadOutput>) {
         match input {
             SpreadInput::Heard(told) => self.heard(now, told, out),
-            SpreadInput::Message(from, SpreadMsg::Want) => self.send(from, out),
-            SpreadInput::Message(_, SpreadMsg::Document { version, document }) => {
-                if version > self.held.version {
-                    out.push(SpreadOutput::Whole(Held { version, document }));
-                }
+            SpreadInput::Lost(peer) => {
+                self.heard.remove(&peer);
+            }
+            SpreadInput::Message(from, SpreadMsg::Want { version, offset }) => {
+                self.wanted(now, from, version, offset, out);
+            }
+            SpreadInput::Message(from, SpreadMsg::Piece(piece)) => {
+                self.piece(now, from, piece, out);
             }
             SpreadInput::Held(held) => self.hold(now, held, out),
-            SpreadInput::Tick => {}
+            SpreadInput::Unreadable(version) => self.unreadable = self.unreadable.max(version),
+            SpreadInput::Tick => self.tick(now, out),
         }
     }
 
-    /// Asks a process for its configuration if it has a newer one.
     fn heard(&mut self, now: Time, told: Told, out: &mut Vec<SpreadOutput>) {
         self.heard.insert(told.instance, (told, now));
-        if self.part == Part::Keeper || told.version <= self.held.version {
+        if told.version > self.news.0 {
+            self.news = (told.version, now);
+        }
+        if told.version > self.version() {
+            self.begin(now, out);
+        }
+    }
+
+    fn hold(&mut self, now: Time, held: Held, out: &mut Vec<SpreadOutput>) {
+        let version = held.version;
+        self.copies.add(now, held);
+        if self.transfer.as_ref().is_some_and(|t| t.version <= version) {
+            self.transfer = None;
+        }
+        if self.part == Part::Keeper {
+            let heard = self.alive(now);
+            let entries = heard.filter(|told| told.part == Part::Entry);
+            let entries = entries.map(|told| told.instance).collect();
+            out.push(SpreadOutput::Tell(entries));
+        }
+        self.begin(now, out);
+    }
+
+    fn tick(&mut self, now: Time, out: &mut Vec<SpreadOutput>) {
+        self.heard.retain(|_, (_, at)| now.since(*at) <= HEARD);
+        self.silent.retain(|_, at| now.since(*at) <= SILENT);
+        self.copies.forget(now);
+        self.miss(now, out);
+        self.begin(now, out);
+    }
+
+    /// Sends a piece to a process that asks for it.
+    fn wanted(
+        &mut self,
+        now: Time,
+        from: InstanceId,
+        version: u64,
+        offset: u64,
+        out: &mut Vec<SpreadOutput>,
+    ) {
+        out.push(match self.copies.piece(now, version, offset) {
+            Some(piece) => SpreadOutput::Send(from, SpreadMsg::Piece(piece)),
+            None => SpreadOutput::Note(SpreadNote::DocumentUnknown {
+                from,
+                version,
+                offset,
+            }),
+        });
+    }
+
+    /// Begins to fetch the newest version, if there is a newer one than the one here. A transfer that is under way
+    /// ends first: with changes in quick succession none would end else.
+    fn begin(&mut self, now: Time, out: &mut Vec<SpreadOutput>) {
+        if self.part == Part::Keeper || self.transfer.is_some() {
             return;
         }
-        let asked = self.asked.get(&told.instance);
-        if asked.is_some_and(|at| now.since(*at) < ASK_AGAIN) {
+        let version = self.newest(now);
+        if version <= self.version().max(self.unreadable) {
             return;
         }
-        self.asked.insert(told.instance, now);
-        out.push(SpreadOutput::Send(told.instance, SpreadMsg::Want));
+        let Some(source) = self.best(now, version) else {
+            return;
+        };
+        let first = if self.news.0 == version {
+            self.news.1
+        } else {
+            now
+        };
+        let transfer = Transfer::new(version, source, first, now);
+        out.push(SpreadOutput::Note(SpreadNote::DocumentBegun {
+            version,
+            source,
+        }));
+        out.push(transfer.want());
+        self.transfer = Some(transfer);
     }
 
-    fn hold(&mut self, now: Time, held: Held, out: &mut Vec<SpreadOutput>) {
-        self.held = held;
-        if self.part == Part::Entry {
+    /// A piece that was not waited for any more counts too, whoever sent it.
+    fn piece(&mut self, now: Time, from: InstanceId, piece: Piece, out: &mut Vec<SpreadOutput>) {
+        let Some(transfer) = &mut self.transfer else {
+            return;
+        };
+        if !transfer.is_next(&piece) {
             return;
         }
-        let heard = self.heard.values();
-        let heard = heard.filter(|(_, at)| now.since(*at) <= HEARD);
-        let entries = heard.filter(|(told, _)| told.part == Part::Entry);
-        for (entry, _) in entries {
-            self.send(entry.instance, out);
+        match transfer.take(now, piece) {
+            Taken::More => {
+                self.silent.remove(&from);
+                self.ask(now, false, out);
+            }
+            Taken::Whole => {
+                self.silent.remove(&from);
+                self.finish(now, out);
+            }
+            Taken::Bad(reason) => {
+                self.silent.insert(from, now);
+                self.drop_transfer(from, reason, out);
+            }
+        }
+    }
+
+    fn finish(&mut self, now: Time, out: &mut Vec<SpreadOutput>) {
+        let Some(transfer) = self.transfer.take() else {
+            return;
+        };
+        let took = now.since(transfer.first).as_millis();
+        out.push(SpreadOutput::Note(SpreadNote::DocumentWhole {
+            version: transfer.version,
+            bytes: transfer.offset(),
+            took: u32::try_from(took).unwrap_or(u32::MAX),
+            sources: transfer.sources(),
+        }));
+        out.push(SpreadOutput::Whole(transfer.into_held()));
+    }
+
+    /// The piece under way does not come.
+    fn miss(&mut self, now: Time, out: &mut Vec<SpreadOutput>) {
+        let newest = self.newest(now);
+        let Some(transfer) = &mut self.transfer else {
+            return;
+        };
+        if !transfer.is_overdue(now) {
+            return;
+        }
+        let source = transfer.source;
+        let misses = transfer.miss(now);
+        let overtaken = newest > transfer.version;
+        self.silent.insert(source, now);
+        if misses >= MISSES && overtaken {
+            self.drop_transfer(source, "overtaken", out);
+        } else {
+            self.ask(now, true, out);
         }
     }
 
-    fn send(&self, to: InstanceId, out: &mut Vec<SpreadOutput>) {
-        if self.held.version == 0 || to == self.me {
+    /// Asks the best source for the next piece.
+    fn ask(&mut self, now: Time, silent: bool, out: &mut Vec<SpreadOutput>) {
+        let version = self.transfer.as_ref().map_or(0, |t| t.version);
+        let best = self.best(now, version);
+        let Some(transfer) = &mut self.transfer else {
             return;
+        };
+        // Without any, the one before is asked again; it may be heard by then.
+        let to = best.unwrap_or(transfer.source);
+        let from = transfer.source;
+        transfer.ask(now, to);
+        if to != from {
+            out.push(SpreadOutput::Note(SpreadNote::DocumentMoved {
+                version,
+                from,
+                to,
+                offset: transfer.offset(),
+                silent,
+            }));
         }
-        let msg = SpreadMsg::Document {
-            version: self.held.version,
-            document: self.held.document.clone(),
+        out.push(transfer.want());
+    }
+
+    fn drop_transfer(
+        &mut self,
+        source: InstanceId,
+        reason: &'static str,
+        out: &mut Vec<SpreadOutput>,
+    ) {
+        if let Some(transfer) = self.transfer.take() {
+            out.push(SpreadOutput::Note(SpreadNote::DocumentDropped {
+                version: transfer.version,
+                source,
+                offset: transfer.offset(),
+                reason,
+            }));
+        }
+    }
+
+    fn alive(&self, now: Time) -> impl Iterator<Item = &Told> {
+        let heard = self.heard.values();
+        heard
+            .filter(move |(_, at)| now.since(*at) <= HEARD)
+            .map(|(told, _)| told)
+    }
+
+    fn newest(&self, now: Time) -> u64 {
+        let versions = self.alive(now).map(|told| told.version);
+        versions.max().unwrap_or(0)
+    }
+
+    /// Who is asked for a version: one that answers, a keeper first, of this data centre first. Among those
+    /// alike the hash spreads the entries over them.
+    fn best(&self, now: Time, version: u64) -> Option<InstanceId> {
+        let sources = self.alive(now).filter(|told| told.version >= version);
+        let rank = |told: &&Told| {
+            let silent = self.silent.get(&told.instance).copied();
+            let other = (told.part != Part::Keeper, told.dc != self.dc);
+            let score = score(self.me.0.into(), told.instance.0.into());
+            (silent, other, Reverse(score))
         };
-        out.push(SpreadOutput::Send(to, msg));
+        sources.min_by_key(rank).map(|told| told.instance)
     }
 }
--- a/crates/celerywinch_fleet/tests/wire/mod.rs
+++ b/crates/celerywinch_fleet/tests/wire/mod.rs
@@ -64,8 +64,8 @@
 impl Packet {
     fn bytes(&self) -> u64 {
         let body = match self {
-            Self::Beat(_) | Self::Spread(SpreadMsg::Want) => 0,
-            Self::Spread(SpreadMsg::Document { document, .. }) => document.len(),
+            Self::Beat(_) | Self::Spread(SpreadMsg::Want { .. }) => 0,
+            Self::Spread(SpreadMsg::Piece(piece)) => piece.bytes.len(),
         };
         SMALL + body as u64
     }
@@ -288,7 +288,13 @@
                         self.send(id, to.0, Packet::Spread(msg));
                     }
                 }
+                SpreadOutput::Tell(others) => {
+                    for other in others {
+                        self.beat(id, other.0);
+                    }
+                }
                 SpreadOutput::Whole(held) => self.give(id, held),
+                SpreadOutput::Note(_) => {}
             }
         }
     }
--- a/crates/celerywinch_types/src/fleet.rs
+++ b/crates/celerywinch_types/src/fleet.rs
@@ -257,15 +257,29 @@
 
     /// How the configuration spreads from the keepers to the entries.
     pub enum SpreadMsg {
-        /// The configuration in force at the sender.
-        Document {
-            /// Its version.
+        /// Asks for a piece of the configuration.
+        Want {
+            /// The version.
             version: u64,
-            /// As the operator sent it.
-            document: Vec<u8>,
+            /// The first byte.
+            offset: u64,
         },
-        /// Asks for the configuration.
-        Want,
+        /// Answers `Want`.
+        Piece(Piece),
+    }
+
+    /// A piece of the configuration.
+    pub struct Piece {
+        /// The version.
+        pub version: u64,
+        /// Bytes of the whole document.
+        pub total: u64,
+        /// The hash of the whole document. After the loss of all disks a version may come again with another one.
+        pub digest: u64,
+        /// The first byte.
+        pub offset: u64,
+        /// The bytes, as the operator sent them.
+        pub bytes: Vec<u8>,
     }
 
     /// A request to the keepers of the configuration.
--- a/crates/celerywinch_types/src/lib.rs
+++ b/crates/celerywinch_types/src/lib.rs
@@ -20,7 +20,7 @@
 pub use endpoint::{EndpointNote, EndpointState, KindName};
 pub use fleet::{
     Beat, Contact, Domain, Doubt, Echo, FleetMsg, Holding, KeepMsg, Learned, LearnedQueue, Load,
-    Part, Session, SpreadMsg, Stage, StepOrder, TaskEnd, TaskNews, TaskOrder, WorkMsg,
+    Part, Piece, Session, SpreadMsg, Stage, StepOrder, TaskEnd, TaskNews, TaskOrder, WorkMsg,
 };
 pub use hash::{score, stable_hash};
 pub use id::{DataCentreId, Holder, Incarnation, InstanceId, Process};
