--- a/crates/celerywinch_types/src/fleet.rs
+++ b/crates/celerywinch_types/src/fleet.rs
@@ -255,6 +255,33 @@
         },
     }
 
+    /// How the configuration spreads from the keepers to the entries.
+    pub enum SpreadMsg {
+        /// Asks for a piece of the configuration.
+        Want {
+            /// The version.
+            version: u64,
+            /// The first byte.
+            offset: u64,
+        },
+        /// Answers `Want`.
+        Piece(Piece),
+    }
+
+    /// A piece of the configuration.
+    pub struct Piece {
+        /// The version.
+        pub version: u64,
+        /// Bytes of the whole document.
+        pub total: u64,
+        /// The hash of the whole document. After the loss of all disks a version may come again with another one.
+        pub digest: u64,
+        /// The first byte.
+        pub offset: u64,
+        /// The bytes, as the operator sent them.
+        pub bytes: Vec<u8>,
+    }
+
     /// A request to the keepers of the configuration.
     pub enum KeepMsg {
         /// Put this document in force under its version, if it is higher than what is held; none
@@ -323,15 +350,8 @@
     Keep(KeepMsg),
     /// What workers said of themselves.
     Workers(Vec<WorkerNote>),
-    /// The configuration in force at the sender.
-    Document {
-        /// Its version.
-        version: u64,
-        /// As the operator sent it.
-        document: Vec<u8>,
-    },
-    /// Asks for the configuration.
-    WantDocument,
+    /// How the configuration spreads.
+    Spread(SpreadMsg),
     /// Work.
     Work(WorkMsg),
     /// What a dispatcher has learned.
