Simulated members: spells of low load, congested incoming paths, lost answers

`LoadPlan::lull`: periods of low load, with no fault for the first part of each, since any change of hands has all workers asked. `FaultPlan::congested`: what is sent to one, half or all members waits behind a backlog of 0.2 to 2 s that grows and drains, in order; links whose pings take over 700 ms are down until a new one can open. Answers of single workers are lost. Workers are announced every 1.5 s there, as keepers tell.

Ruled out: a change of the old kinds of runs.

--- a/crates/celerywinch/src/commands/soak.rs
+++ b/crates/celerywinch/src/commands/soak.rs
@@ -16,7 +16,7 @@
     run,
 };
 
-const BRIEF: &str = "Usage: celerywinch soak [--seed N] [--steps M] [--calm] [--store]\n       celerywinch soak --members [--seed N] [--runs M] [--held]\n\n\
+const BRIEF: &str = "Usage: celerywinch soak [--seed N] [--steps M] [--calm] [--store]\n       celerywinch soak --members [--seed N] [--runs M] [--held]\n                                  [--congested]\n\n\
     Drives the entries' state machines with a virtual clock under lost, doubled, delayed and\n\
     reordered messages, deaths, freezes, cuts and lost memory. One seed gives one run.\n\
     Prints `steps=… starts=… violations=…` last and exits 1 on a violation.";
@@ -28,6 +28,14 @@
 /// The most workers of a dispatcher, of 48: one for all, or several that hand on what finds no room.
 const MEMBERS_SHARDS: [usize; 3] = [80, 8, 16];
 
+/// The same in a run with congested paths: 4 s of the usual load, then a lull in which most workers
+/// are idle for longer than the 20 s after which a silent worker is forgotten; twice, and 4 s at the end.
+const CONGESTED_LOAD: u64 = 64_000;
+const LULL_EVERY: u64 = 30_000;
+const LULL_LASTS: u64 = 26_000;
+const LULL_CALM: u64 = 22_000;
+const LULL_LOADS: [f64; 4] = [0.05, 0.4, 0.1, 0.2];
+
 /// What callers wait at most where messages are held up, in ms; the users' callers wait up to 8 s.
 const PATIENT: u32 = 8_000;
 
@@ -60,6 +68,11 @@
         "held",
         "with --members: cut many entries off at once and hold their messages up, too",
     );
+    options.optflag(
+        "",
+        "congested",
+        "with --members: runs of 60 s with spells of low load, and congest the paths to members, too",
+    );
     options.optopt(
         "",
         "follow-job",
@@ -75,8 +88,11 @@
     if matches.opt_present("members") {
         let runs = number(&matches, "runs")?.unwrap_or(1);
         let job = number(&matches, "follow-job")?;
-        let held = matches.opt_present("held");
-        return Ok(members(seed, runs, held, job));
+        let kinds = Kinds {
+            held: matches.opt_present("held"),
+            congested: matches.opt_present("congested"),
+        };
+        return Ok(members(seed, runs, kinds, job));
     }
     let store = matches.opt_present("store");
     let options = SoakOptions {
@@ -120,43 +136,66 @@
     })
 }
 
-/// The brief's kinds of jobs. Where messages are held up their callers wait longer, or none would wait
-/// any more when they arrive.
-fn classes(held: bool) -> Vec<members::ClassPlan> {
+/// Kinds of faults that were asked for, beside those of every run.
+#[derive(Clone, Copy, Debug)]
+struct Kinds {
+    held: bool,
+    congested: bool,
+}
+
+/// The brief's kinds of jobs. Where messages are late or lost for seconds their callers wait longer, or none
+/// would wait any more when they arrive.
+fn classes(kinds: Kinds) -> Vec<members::ClassPlan> {
     let mut classes = members::brief_classes();
-    if held {
+    if kinds.held || kinds.congested {
         classes.iter_mut().for_each(|class| class.timeout = PATIENT);
     }
     classes
 }
 
-fn members(seed: u64, runs: u64, held: bool, follow: Option<u64>) -> ExitStatus {
+fn members_options(seed: u64, kinds: Kinds, follow: Option<u64>) -> members::MembersOptions {
+    let every = MEMBERS_FAULTS[(seed % MEMBERS_FAULTS.len() as u64) as usize];
+    let lull = members::Lull {
+        every: LULL_EVERY,
+        lasts: LULL_LASTS,
+        calm: LULL_CALM,
+        factor: LULL_LOADS[(seed / 4 % LULL_LOADS.len() as u64) as usize],
+    };
+    members::MembersOptions {
+        seed,
+        dcs: 3,
+        entries: 7,
+        workers: 48,
+        shard: MEMBERS_SHARDS[(seed % MEMBERS_SHARDS.len() as u64) as usize],
+        length: if kinds.congested {
+            CONGESTED_LOAD
+        } else {
+            MEMBERS_LOAD
+        },
+        load: members::LoadPlan {
+            classes: classes(kinds),
+            cpu: members::BRIEF_CPU,
+            burst: None,
+            lull: kinds.congested.then_some(lull),
+        },
+        unanswered: None,
+        faults: Some(members::FaultPlan {
+            every,
+            members: true,
+            workers: true,
+            clocks: seed % 5 >= 3,
+            held: kinds.held,
+            congested: kinds.congested,
+        }),
+        follow: follow.map(JobId),
+    }
+}
+
+fn members(seed: u64, runs: u64, kinds: Kinds, follow: Option<u64>) -> ExitStatus {
     let mut violated = 0;
     let mut starts = 0;
     for seed in seed..seed + runs {
-        let every = MEMBERS_FAULTS[(seed % MEMBERS_FAULTS.len() as u64) as usize];
-        let report = members::run(members::MembersOptions {
-            seed,
-            dcs: 3,
-            entries: 7,
-            workers: 48,
-            shard: MEMBERS_SHARDS[(seed % MEMBERS_SHARDS.len() as u64) as usize],
-            length: MEMBERS_LOAD,
-            load: members::LoadPlan {
-                classes: classes(held),
-                cpu: members::BRIEF_CPU,
-                burst: None,
-            },
-            unanswered: None,
-            faults: Some(members::FaultPlan {
-                every,
-                members: true,
-                workers: true,
-                clocks: seed % 5 >= 3,
-                held,
-            }),
-            follow: follow.map(JobId),
-        });
+        let report = members::run(members_options(seed, kinds, follow));
         starts += report.runs.0;
         if !report.violations.is_empty() {
             violated += 1;
--- a/crates/celerywinch_bench/src/members/cuts.rs
+++ b/crates/celerywinch_bench/src/members/cuts.rs
@@ -101,9 +101,15 @@
         }
     }
 
+    /// Messages between two members may have been lost.
+    pub(crate) fn reset_link(&mut self, index: usize, peer: usize) {
+        let life = self.members[index].life();
+        self.at(self.now, Event::Reset(index, life, peer));
+    }
+
     /// Members that started on two sides of a cut learn of each other when it has healed, as keepers
     /// tell in a deployment. Without that two of them would dispatch for one data centre for ever.
-    fn introduce(&mut self) {
+    pub(crate) fn introduce(&mut self) {
         for index in 0..self.members.len() {
             for other in 0..self.members.len() {
                 if index != other && self.members[other].is_up() && !self.knows(index, other) {
--- a/crates/celerywinch_bench/src/members/faults.rs
+++ b/crates/celerywinch_bench/src/members/faults.rs
@@ -9,7 +9,7 @@
 use super::world::World;
 
 /// Which faults strike; one of them every `every` ms.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct FaultPlan {
     /// Ms between two faults.
     pub every: u64,
@@ -22,6 +22,10 @@
     /// Whether many entries at once are cut off from all other members, while workers and callers
     /// reach them; what was sent as the cut began arrives up to some seconds after it has healed.
     pub held: bool,
+    /// Whether the incoming paths of members are congested: answers of workers, messages and heartbeats
+    /// reach them up to 2 s late, in order, while what they send goes out in time; and whether answers of
+    /// single workers are lost though their orders were carried out.
+    pub congested: bool,
 }
 
 /// A fault.
@@ -38,10 +42,19 @@
     Fail,
     LoseCalls,
     LateOrders,
+    Congest,
+    LoseAnswers,
 }
 
 const MEMBER_FAULTS: [Fault; 4] = [Fault::Kill, Fault::Leave, Fault::Freeze, Fault::Cut];
 const HELD_FAULTS: [Fault; 1] = [Fault::CutEntries];
+/// Congestion as often as three others, or it would rarely strike the dispatcher beside all else.
+const CONGESTED_FAULTS: [Fault; 4] = [
+    Fault::Congest,
+    Fault::Congest,
+    Fault::Congest,
+    Fault::LoseAnswers,
+];
 const WORKER_FAULTS: [Fault; 6] = [
     Fault::Crash,
     Fault::Hang,
@@ -53,21 +66,24 @@
 
 impl World {
     pub(crate) fn strike(&mut self, plan: FaultPlan) {
+        if self.options.load.is_calm(self.now) {
+            return;
+        }
         let members = MEMBER_FAULTS.iter().filter(|_| plan.members);
         let workers = WORKER_FAULTS.iter().filter(|_| plan.workers);
         let held = HELD_FAULTS.iter().filter(|_| plan.held);
+        let congested = CONGESTED_FAULTS.iter().filter(|_| plan.congested);
         let Some(fault) = members
             .chain(workers)
             .chain(held)
+            .chain(congested)
             .choose(&mut self.random)
             .copied()
         else {
             return;
         };
         let lasts = Duration::from_millis(self.random.random_range(200..2_500));
-        if self.options.follow.is_some() {
-            println!("{:>10} fault: {fault:?} for {lasts:?}", self.now.0);
-        }
+        self.say(|| format!("fault: {fault:?} for {lasts:?}"));
         match fault {
             Fault::Kill => self.kill_member(lasts),
             Fault::Leave => self.stop_member(),
@@ -83,6 +99,8 @@
             Fault::Fail => self.weaken(Health::Fails, lasts),
             Fault::LoseCalls => self.lose_calls(lasts),
             Fault::LateOrders => self.late_orders(lasts),
+            Fault::Congest => self.congest(lasts),
+            Fault::LoseAnswers => self.lose_answers(lasts),
         }
     }
 }
--- a/crates/celerywinch_bench/src/members/load.rs
+++ b/crates/celerywinch_bench/src/members/load.rs
@@ -29,6 +29,29 @@
     pub cpu: u32,
     /// From when to when, in ms, the load is that many times as high.
     pub burst: Option<(u64, u64, f64)>,
+    /// Spells of low load, if any.
+    pub lull: Option<Lull>,
+}
+
+/// Spells of low load, one at the end of each period.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Lull {
+    /// The period, in ms.
+    pub every: u64,
+    /// How long the load is low in each, in ms.
+    pub lasts: u64,
+    /// That many times the usual load there is then.
+    pub factor: f64,
+    /// For how long from its start no fault strikes, in ms: any change of hands, and any congestion, has
+    /// workers asked, and none would be idle for long.
+    pub calm: u64,
+}
+
+impl Lull {
+    /// For how long it has lasted, in ms.
+    fn age(&self, now: Time) -> Option<u64> {
+        (now.0 / 1_000 % self.every).checked_sub(self.every - self.lasts)
+    }
 }
 
 /// The three kinds of jobs of the brief's catalogue service: price checks (many short tasks), scan
@@ -57,11 +80,19 @@
 impl LoadPlan {
     /// How many times the usual load there is at a moment.
     pub(crate) fn factor(&self, now: Time) -> f64 {
+        let lull = self.lull.filter(|lull| lull.age(now).is_some());
+        let low = lull.map_or(1.0, |lull| lull.factor);
         match self.burst {
-            Some((from, to, factor)) if (from * 1000..to * 1000).contains(&now.0) => factor,
-            _ => 1.0,
+            Some((from, to, factor)) if (from * 1000..to * 1000).contains(&now.0) => factor * low,
+            _ => low,
         }
     }
+
+    /// Whether no fault is to strike.
+    pub(crate) fn is_calm(&self, now: Time) -> bool {
+        let lull = self.lull.as_ref();
+        lull.is_some_and(|lull| lull.age(now).is_some_and(|age| age < lull.calm))
+    }
 }
 
 /// How a kind of job was served.
--- a/crates/celerywinch_bench/src/members/mod.rs
+++ b/crates/celerywinch_bench/src/members/mod.rs
@@ -2,6 +2,7 @@
 //! faults, whose histories are checked, and for loads, whose service is measured.
 
 mod callers;
+mod congestion;
 mod cuts;
 mod faults;
 mod history;
@@ -11,6 +12,6 @@
 
 pub use faults::FaultPlan;
 pub use history::{Violation, overlaps};
-pub use load::{BRIEF_CPU, ClassFigures, ClassPlan, LoadPlan, brief_classes};
+pub use load::{BRIEF_CPU, ClassFigures, ClassPlan, LoadPlan, Lull, brief_classes};
 pub use workers::Unanswered;
 pub use world::{MembersOptions, MembersReport, run};
--- a/crates/celerywinch_bench/src/members/workers.rs
+++ b/crates/celerywinch_bench/src/members/workers.rs
@@ -44,6 +44,8 @@
     pub(crate) loses: Time,
     /// Orders are carried out late, and not answered, until then.
     pub(crate) late: Time,
+    /// Its answers are lost until then.
+    pub(crate) mute: Time,
 }
 
 /// A call on its way.
@@ -172,9 +174,13 @@
     }
 
     fn reply(&mut self, index: usize, way: &OnWay, answer: Answer) {
+        if self.workers[index].mute > self.now {
+            return;
+        }
         let delay = self.delay(self.members[way.from].dc, self.workers[index].dc);
         let event = Event::Answer(way.from, way.life, way.call.key, answer);
-        self.at(self.now + delay, event);
+        let due = self.arrival(way.from, self.now + delay);
+        self.at(due, event);
     }
 
     fn pick_worker(&mut self) -> usize {
@@ -228,6 +234,12 @@
         self.workers[index].loses = self.now + lasts;
     }
 
+    pub(crate) fn lose_answers(&mut self, lasts: Duration) {
+        let index = self.pick_worker();
+        self.workers[index].mute = self.now + lasts;
+        self.say(|| format!("worker-{index} loses answers"));
+    }
+
     pub(crate) fn late_orders(&mut self, lasts: Duration) {
         let index = self.pick_worker();
         self.workers[index].late = self.now + lasts;
--- a/crates/celerywinch_bench/src/members/world.rs
+++ b/crates/celerywinch_bench/src/members/world.rs
@@ -14,6 +14,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::callers::CallerJob;
+use super::congestion::Backlog;
 use super::cuts::Apart;
 use super::faults::FaultPlan;
 use super::history::{Violation, done, overlaps};
@@ -81,6 +82,7 @@
     Order(usize, OnWay),
     LateOrder(usize, OnWay),
     Answer(usize, u64, CallKey, Answer),
+    Reset(usize, u64, usize),
     Arrive(usize),
     Resubmit(usize, u32),
     GiveUp(usize, u32),
@@ -93,6 +95,8 @@
     Announce(usize),
     WorkerBack(usize),
     Heal(usize),
+    AnnounceAll,
+    Online(usize),
 }
 
 /// A member and its process.
@@ -105,6 +109,7 @@
     leaving: bool,
     /// What arrives while it is frozen.
     held: Vec<Event>,
+    pub(crate) backlog: Backlog,
 }
 
 impl MemberHost {
@@ -132,6 +137,10 @@
     pub(crate) apart: Apart,
 }
 
+fn instance(index: usize) -> InstanceId {
+    InstanceId(index as u32 + 1)
+}
+
 /// Plays a run.
 #[must_use]
 pub fn run(options: MembersOptions) -> MembersReport {
@@ -176,6 +185,7 @@
                 frozen: false,
                 leaving: false,
                 held: Vec::new(),
+                backlog: Backlog::default(),
             });
             world.at(Time(0), Event::Start(index as usize));
         }
@@ -197,6 +207,7 @@
                 lives: 0,
                 loses: Time(0),
                 late: Time(0),
+                mute: Time(0),
             });
         }
         for class in 0..world.options.load.classes.len() {
@@ -205,6 +216,9 @@
         if world.options.faults.is_some() {
             world.at(Time(2_500_000), Event::Strike);
         }
+        if world.options.faults.is_some_and(|plan| plan.congested) {
+            world.at(Time(1_500_000), Event::AnnounceAll);
+        }
         world
     }
 
@@ -218,7 +232,9 @@
 
     fn handle(&mut self, event: Event) {
         match event {
-            Event::Tick(..) | Event::Deliver(..) | Event::Answer(..) => self.reach_member(event),
+            Event::Tick(..) | Event::Deliver(..) | Event::Answer(..) | Event::Reset(..) => {
+                self.reach_member(event)
+            }
             Event::Order(worker, way) => self.ordered(worker, way),
             Event::LateOrder(worker, way) => {
                 if self.workers[worker].up {
@@ -243,6 +259,8 @@
             Event::Announce(worker) => self.announce(worker),
             Event::WorkerBack(worker) => self.worker_back(worker),
             Event::Heal(worker) => self.heal(worker),
+            Event::AnnounceAll => self.announce_all(),
+            Event::Online(member) => self.online(member),
         }
     }
 
@@ -250,7 +268,8 @@
         let (index, life) = match &event {
             Event::Tick(index, life)
             | Event::Deliver(index, life, ..)
-            | Event::Answer(index, life, ..) => (*index, *life),
+            | Event::Answer(index, life, ..)
+            | Event::Reset(index, life, _) => (*index, *life),
             _ => return,
         };
         let host = &mut self.members[index];
@@ -268,6 +287,7 @@
             }
             Event::Deliver(_, _, from, msg) => self.deliver_now(index, from, msg),
             Event::Answer(_, _, key, answer) => self.input(index, Input::Answered(key, answer)),
+            Event::Reset(_, _, peer) => self.input(index, Input::LinkReset(instance(peer))),
             _ => {}
         }
     }
@@ -305,7 +325,10 @@
                 Output::NewPeer(_) | Output::Heard(_) | Output::Forget(_) | Output::Stage(_) => {}
                 Output::Member(note) => self.follow(index, &note, true),
                 Output::Dispatch(note) => {
-                    let of_members = matches!(note, Note::Acquired { .. } | Note::Resigned { .. });
+                    let of_members = matches!(
+                        note,
+                        Note::Acquired { .. } | Note::Resigned { .. } | Note::WorkerGone { .. }
+                    );
                     self.follow(index, &note, of_members);
                 }
                 Output::Origin(note) => self.follow(index, &note, false),
@@ -313,6 +336,13 @@
         }
     }
 
+    /// Prints what happens, if a job is followed.
+    pub(crate) fn say(&self, text: impl FnOnce() -> String) {
+        if self.options.follow.is_some() {
+            println!("{:>10} {}", self.now.0, text());
+        }
+    }
+
     /// Prints a note about the job that is followed, or about members.
     fn follow(&self, index: usize, note: &impl std::fmt::Debug, always: bool) {
         let Some(job) = self.options.follow else {
@@ -320,7 +350,7 @@
         };
         let text = format!("{note:?}");
         if always || text.contains(&job.0.to_string()) {
-            println!("{:>10} member {index}: {text}", self.now.0);
+            self.say(|| format!("member {index}: {text}"));
         }
     }
 
@@ -329,6 +359,10 @@
         if self.is_cut(here, there) {
             return;
         }
+        let down = from != to && (self.is_offline(from) || self.is_offline(to));
+        if down {
+            return;
+        }
         let life = self.members[to].life;
         let process = self.process(from);
         let event = Event::Deliver(to, life, process, msg);
@@ -336,7 +370,7 @@
             self.apart.hold(self.now, from, to, event);
             return;
         }
-        let due = self.now + self.delay(here, there);
+        let due = self.arrival(to, self.now + self.delay(here, there));
         self.at(due, event);
     }
 
--- a/crates/celerywinch_bench/tests/members.rs
+++ b/crates/celerywinch_bench/tests/members.rs
@@ -17,6 +17,7 @@
             classes: brief_classes(),
             cpu: BRIEF_CPU,
             burst: None,
+            lull: None,
         },
         unanswered: None,
         faults: None,
@@ -43,11 +44,11 @@
 /// lose calls and carry orders out late. No task may have two runs at once, an answer of
 /// completion or refusal must be true, and every caller at a living entry gets one.
 #[rstest]
-#[case::members(FaultPlan { every: 700, members: true, workers: false, clocks: false, held: false }, 1)]
-#[case::members_again(FaultPlan { every: 500, members: true, workers: false, clocks: false, held: false }, 2)]
-#[case::workers(FaultPlan { every: 150, members: false, workers: true, clocks: false, held: false }, 3)]
-#[case::both(FaultPlan { every: 300, members: true, workers: true, clocks: false, held: false }, 4)]
-#[case::both_again(FaultPlan { every: 400, members: true, workers: true, clocks: false, held: false }, 5)]
+#[case::members(FaultPlan { every: 700, members: true, workers: false, ..FaultPlan::default() }, 1)]
+#[case::members_again(FaultPlan { every: 500, members: true, workers: false, ..FaultPlan::default() }, 2)]
+#[case::workers(FaultPlan { every: 150, members: false, workers: true, ..FaultPlan::default() }, 3)]
+#[case::both(FaultPlan { every: 300, members: true, workers: true, ..FaultPlan::default() }, 4)]
+#[case::both_again(FaultPlan { every: 400, members: true, workers: true, ..FaultPlan::default() }, 5)]
 fn history_holds(#[case] faults: FaultPlan, #[case] seed: u64) {
     let mut options = options(seed, 15_000);
     options.faults = Some(faults);
@@ -74,6 +75,7 @@
         workers: true,
         clocks: false,
         held: false,
+        ..FaultPlan::default()
     });
     assert_eq!(run(options).violations, Vec::<Violation>::new());
 }
@@ -98,6 +100,7 @@
         workers: true,
         clocks: true,
         held: false,
+        ..FaultPlan::default()
     });
     assert_eq!(run(options).violations, Vec::<Violation>::new());
 }
@@ -132,6 +135,7 @@
         workers: true,
         clocks: seed % 5 >= 3,
         held: true,
+        ..FaultPlan::default()
     });
     assert_eq!(run(options).violations, Vec::<Violation>::new());
 }
--- a/crates/celerywinch_bench/tests/members_divided.rs
+++ b/crates/celerywinch_bench/tests/members_divided.rs
@@ -24,6 +24,7 @@
             classes: brief_classes().into_iter().map(grown).collect(),
             cpu: 16_000,
             burst: None,
+            lull: None,
         },
         unanswered: None,
         faults: None,
--- a/crates/celerywinch_bench/tests/members_unanswered.rs
+++ b/crates/celerywinch_bench/tests/members_unanswered.rs
@@ -19,6 +19,7 @@
             classes: brief_classes(),
             cpu: BRIEF_CPU,
             burst: None,
+            lull: None,
         },
         unanswered: Some(Unanswered {
             from: 4_000,
