Simulated members: connections refused while both sides are alive

A peer that refuses a connection counts as lost at once, not after 350 ms of silence, from which the argument for grants counts. The simulation refused connections only of processes that had ended.

`FaultPlan::refused`: up to four tenths of the members cannot connect to the others, or the others to them, or both; each such link is tried, and told to be refused, every 100 ms, for 0.4 to 5 s.

--- a/crates/celerywinch/src/commands/soak.rs
+++ b/crates/celerywinch/src/commands/soak.rs
@@ -16,7 +16,7 @@
     run,
 };
 
-const BRIEF: &str = "Usage: celerywinch soak [--seed N] [--steps M] [--calm] [--store]\n       celerywinch soak --members [--seed N] [--runs M] [--held]\n                                  [--congested]\n\n\
+const BRIEF: &str = "Usage: celerywinch soak [--seed N] [--steps M] [--calm] [--store]\n       celerywinch soak --members [--seed N] [--runs M] [--held]\n                                  [--congested] [--refused]\n\n\
     Drives the entries' state machines with a virtual clock under lost, doubled, delayed and\n\
     reordered messages, deaths, freezes, cuts and lost memory. One seed gives one run.\n\
     Prints `steps=… starts=… violations=…` last and exits 1 on a violation.";
@@ -73,6 +73,11 @@
         "congested",
         "with --members: runs of 60 s with spells of low load, and congest the paths to members, too",
     );
+    options.optflag(
+        "",
+        "refused",
+        "with --members: have members that are alive refused connections, too",
+    );
     options.optopt(
         "",
         "follow-job",
@@ -91,6 +96,7 @@
         let kinds = Kinds {
             held: matches.opt_present("held"),
             congested: matches.opt_present("congested"),
+            refused: matches.opt_present("refused"),
         };
         return Ok(members(seed, runs, kinds, job));
     }
@@ -141,13 +147,14 @@
 struct Kinds {
     held: bool,
     congested: bool,
+    refused: bool,
 }
 
 /// The brief's kinds of jobs. Where messages are late or lost for seconds their callers wait longer, or none
 /// would wait any more when they arrive.
 fn classes(kinds: Kinds) -> Vec<members::ClassPlan> {
     let mut classes = members::brief_classes();
-    if kinds.held || kinds.congested {
+    if kinds.held || kinds.congested || kinds.refused {
         classes.iter_mut().for_each(|class| class.timeout = PATIENT);
     }
     classes
@@ -186,6 +193,7 @@
             clocks: seed % 5 >= 3,
             held: kinds.held,
             congested: kinds.congested,
+            refused: kinds.refused,
         }),
         follow: follow.map(JobId),
     }
--- a/crates/celerywinch_bench/src/members/faults.rs
+++ b/crates/celerywinch_bench/src/members/faults.rs
@@ -26,6 +26,8 @@
     /// reach them up to 2 s late, in order, while what they send goes out in time; and whether answers of
     /// single workers are lost though their orders were carried out.
     pub congested: bool,
+    /// Whether members that are alive are refused connections by others: those count as lost at once.
+    pub refused: bool,
 }
 
 /// A fault.
@@ -44,6 +46,7 @@
     LateOrders,
     Congest,
     LoseAnswers,
+    Refuse,
 }
 
 const MEMBER_FAULTS: [Fault; 4] = [Fault::Kill, Fault::Leave, Fault::Freeze, Fault::Cut];
@@ -55,6 +58,7 @@
     Fault::Congest,
     Fault::LoseAnswers,
 ];
+const REFUSED_FAULTS: [Fault; 2] = [Fault::Refuse, Fault::Refuse];
 const WORKER_FAULTS: [Fault; 6] = [
     Fault::Crash,
     Fault::Hang,
@@ -73,10 +77,12 @@
         let workers = WORKER_FAULTS.iter().filter(|_| plan.workers);
         let held = HELD_FAULTS.iter().filter(|_| plan.held);
         let congested = CONGESTED_FAULTS.iter().filter(|_| plan.congested);
+        let refused = REFUSED_FAULTS.iter().filter(|_| plan.refused);
         let Some(fault) = members
             .chain(workers)
             .chain(held)
             .chain(congested)
+            .chain(refused)
             .choose(&mut self.random)
             .copied()
         else {
@@ -101,6 +107,7 @@
             Fault::LateOrders => self.late_orders(lasts),
             Fault::Congest => self.congest(lasts),
             Fault::LoseAnswers => self.lose_answers(lasts),
+            Fault::Refuse => self.refuse_links(lasts),
         }
     }
 }
--- a/crates/celerywinch_bench/src/members/mod.rs
+++ b/crates/celerywinch_bench/src/members/mod.rs
@@ -7,6 +7,7 @@
 mod faults;
 mod history;
 mod load;
+mod refusals;
 mod workers;
 mod world;
 
--- /dev/null
+++ b/crates/celerywinch_bench/src/members/refusals.rs
@@ -0,0 +1,78 @@
+//! Members whose connections to others are refused though both sides are alive.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::seq::index::sample;
+
+use super::world::{Event, World};
+
+/// Of the members, so many are refused at once at most, in tenths.
+const TENTHS: usize = 4;
+/// A link is tried again after this time (`celerywinch_links`).
+const PAUSE: Duration = Duration::from_millis(100);
+/// This many times as long as other faults, up to 5 s: longer than a lease and the wait for its end.
+const LONGER: u32 = 2;
+
+/// Pairs of members of which the first cannot connect to the second.
+#[derive(Debug, Default)]
+pub(crate) struct Refusals {
+    pairs: BTreeSet<(usize, usize)>,
+}
+
+impl Refusals {
+    pub(crate) fn contain(&self, from: usize, to: usize) -> bool {
+        self.pairs.contains(&(from, to))
+    }
+}
+
+impl World {
+    /// Some members are refused by all others, or refuse them, or both.
+    pub(crate) fn refuse_links(&mut self, lasts: Duration) {
+        if !self.refusals.pairs.is_empty() {
+            return;
+        }
+        let all = self.members.len();
+        let count = self.random.random_range(1..=(all * TENTHS).div_ceil(10));
+        let (outgoing, incoming) = match self.random.random_range(0..3) {
+            0 => (true, false),
+            1 => (false, true),
+            _ => (true, true),
+        };
+        for one in sample(&mut self.random, all, count) {
+            self.say(|| format!("member {one} is refused: {outgoing}, refuses: {incoming}"));
+            for other in (0..all).filter(|other| *other != one) {
+                if outgoing {
+                    self.refusals.pairs.insert((one, other));
+                }
+                if incoming {
+                    self.refusals.pairs.insert((other, one));
+                }
+            }
+        }
+        self.refuse_again();
+        self.at(self.now + lasts * LONGER, Event::Admit);
+    }
+
+    /// Each link that is refused is tried, and told to be refused, again and again.
+    pub(crate) fn refuse_again(&mut self) {
+        if self.refusals.pairs.is_empty() {
+            return;
+        }
+        for (from, to) in self.refusals.pairs.clone() {
+            let life = self.members[from].life();
+            self.at(self.now, Event::Refused(from, life, to));
+        }
+        self.at(self.now + PAUSE, Event::RefuseAgain);
+    }
+
+    /// Links open again.
+    pub(crate) fn admit(&mut self) {
+        for (from, to) in std::mem::take(&mut self.refusals.pairs) {
+            self.reset_link(from, to);
+            self.reset_link(to, from);
+        }
+        self.introduce();
+    }
+}
--- a/crates/celerywinch_bench/src/members/world.rs
+++ b/crates/celerywinch_bench/src/members/world.rs
@@ -19,6 +19,7 @@
 use super::faults::FaultPlan;
 use super::history::{Violation, done, overlaps};
 use super::load::{ClassFigures, LoadPlan};
+use super::refusals::Refusals;
 use super::workers::{OnWay, Unanswered, WorkerHost};
 
 /// Between two ticks of a member.
@@ -82,6 +83,7 @@
     Order(usize, OnWay),
     LateOrder(usize, OnWay),
     Answer(usize, u64, CallKey, Answer),
+    Refused(usize, u64, usize),
     Reset(usize, u64, usize),
     Arrive(usize),
     Resubmit(usize, u32),
@@ -97,6 +99,8 @@
     Heal(usize),
     AnnounceAll,
     Online(usize),
+    RefuseAgain,
+    Admit,
 }
 
 /// A member and its process.
@@ -135,6 +139,8 @@
     pub(crate) cut: BTreeSet<u8>,
     /// Entries that are cut off from all other members.
     pub(crate) apart: Apart,
+    /// Members that are refused connections.
+    pub(crate) refusals: Refusals,
 }
 
 fn instance(index: usize) -> InstanceId {
@@ -175,6 +181,7 @@
             history: Vec::new(),
             cut: BTreeSet::new(),
             apart: Apart::default(),
+            refusals: Refusals::default(),
             options,
         };
         for index in 0..world.options.entries {
@@ -232,9 +239,11 @@
 
     fn handle(&mut self, event: Event) {
         match event {
-            Event::Tick(..) | Event::Deliver(..) | Event::Answer(..) | Event::Reset(..) => {
-                self.reach_member(event)
-            }
+            Event::Tick(..)
+            | Event::Deliver(..)
+            | Event::Answer(..)
+            | Event::Refused(..)
+            | Event::Reset(..) => self.reach_member(event),
             Event::Order(worker, way) => self.ordered(worker, way),
             Event::LateOrder(worker, way) => {
                 if self.workers[worker].up {
@@ -261,6 +270,8 @@
             Event::Heal(worker) => self.heal(worker),
             Event::AnnounceAll => self.announce_all(),
             Event::Online(member) => self.online(member),
+            Event::RefuseAgain => self.refuse_again(),
+            Event::Admit => self.admit(),
         }
     }
 
@@ -269,6 +280,7 @@
             Event::Tick(index, life)
             | Event::Deliver(index, life, ..)
             | Event::Answer(index, life, ..)
+            | Event::Refused(index, life, _)
             | Event::Reset(index, life, _) => (*index, *life),
             _ => return,
         };
@@ -287,6 +299,7 @@
             }
             Event::Deliver(_, _, from, msg) => self.deliver_now(index, from, msg),
             Event::Answer(_, _, key, answer) => self.input(index, Input::Answered(key, answer)),
+            Event::Refused(_, _, peer) => self.input(index, Input::Refused(instance(peer))),
             Event::Reset(_, _, peer) => self.input(index, Input::LinkReset(instance(peer))),
             _ => {}
         }
@@ -360,7 +373,7 @@
             return;
         }
         let down = from != to && (self.is_offline(from) || self.is_offline(to));
-        if down {
+        if down || self.refusals.contain(from, to) {
             return;
         }
         let life = self.members[to].life;
