Simulated members are to be at rest 2 s after the last caller has left

The run goes on for 8 s after the load as before, or for the longest wait of a caller and 2 s. The check itself is as it was. Where callers wait 1.5 s nothing changes.

--- a/crates/celerywinch_bench/src/members/world.rs
+++ b/crates/celerywinch_bench/src/members/world.rs
@@ -31,8 +31,11 @@
 const RESTART: Duration = Duration::from_millis(600);
 /// A member that is told to stop goes on for this long.
 const GRACE: Duration = Duration::from_millis(1_500);
-/// How long the world goes on after the load, until all must be at rest.
+/// How long the world goes on after the load, until all must be at rest, ...
 const REST: Duration = Duration::from_secs(8);
+/// ... and after the last caller has left: its tasks are stopped, and 400 ms later workers are told that their
+/// ends are known.
+const AFTER_LAST: Duration = Duration::from_secs(2);
 /// When a run begins, in ms since 1970, and how far wall clocks are wrong at most where they are; by
 /// the users' page they jump by seconds.
 const EPOCH_MS: u64 = 1_700_000_000_000;
@@ -152,7 +155,7 @@
 pub fn run(options: MembersOptions) -> MembersReport {
     let mut world = World::new(options);
     let end = Time(world.options.length * 1_000);
-    let rest = end + REST;
+    let rest = end + world.rest();
     while let Some(due) = world.events.next_due() {
         if due > rest {
             break;
@@ -539,6 +542,12 @@
         }
     }
 
+    fn rest(&self) -> Duration {
+        let classes = self.options.load.classes.iter();
+        let longest = classes.map(|class| class.timeout).max().unwrap_or(0);
+        REST.max(Duration::from_millis(longest.into()) + AFTER_LAST)
+    }
+
     fn report(mut self) -> MembersReport {
         for host in &mut self.workers {
             host.worker.advance(self.now);
