--- a/crates/celerywinch_bench/tests/members.rs
+++ b/crates/celerywinch_bench/tests/members.rs
@@ -1,7 +1,8 @@
 //! Members and workers in simulated time: histories under faults, and service under load.
 
 use celerywinch_bench::members::{
-    BRIEF_CPU, FaultPlan, LoadPlan, MembersOptions, MembersReport, Violation, brief_classes, run,
+    BRIEF_CPU, FaultPlan, LoadPlan, Lull, MembersOptions, MembersReport, Violation, brief_classes,
+    run,
 };
 use rstest::rstest;
 
@@ -140,6 +141,38 @@
     assert_eq!(run(options).violations, Vec::<Violation>::new());
 }
 
+/// Callers see one task at work on two workers: workers idle for over 20 s get a task while what is sent to
+/// their dispatcher is late. The start is carried out, its answer comes after the time for it, and the
+/// worker, last heard when its last task ended, was forgotten at that first miss and its runs started
+/// elsewhere at once: where one dispatcher has all workers (9) and where they are divided (10, 44, where 226 ms late
+/// sufficed); and where answers of that worker alone are lost (96).
+#[rstest]
+#[case::one_dispatcher(9)]
+#[case::eight_dispatchers(10)]
+#[case::barely_late(44)]
+#[case::answers_lost(96)]
+fn seeds_with_late_answers_that_failed_once(#[case] seed: u64) {
+    let mut options = options(seed, 64_000);
+    options.shard = [80, 8, 16][(seed % 3) as usize];
+    let classes = &mut options.load.classes;
+    classes.iter_mut().for_each(|class| class.timeout = 8_000);
+    options.load.lull = Some(Lull {
+        every: 30_000,
+        lasts: 26_000,
+        factor: [0.05, 0.4, 0.1, 0.2][(seed / 4 % 4) as usize],
+        calm: 22_000,
+    });
+    options.faults = Some(FaultPlan {
+        every: [900, 500, 300, 150][(seed % 4) as usize],
+        members: true,
+        workers: true,
+        clocks: seed % 5 >= 3,
+        congested: true,
+        ..FaultPlan::default()
+    });
+    assert_eq!(run(options).violations, Vec::<Violation>::new());
+}
+
 /// A burst of 1.8 times the ordinary load for 6 s, as the users' standard days have it: about a third
 /// more than the workers can do. Work is refused by its priority and at once, and what is taken ends
 /// within its objective: little of it is late, and short jobs are served (nearly) all.
