--- a/crates/celerywinch_pool/src/pool.rs
+++ b/crates/celerywinch_pool/src/pool.rs
@@ -9,7 +9,7 @@
 };
 use slotmap::SlotMap;
 
-use crate::call::{Answer, Call, CallKey, Order, Pending};
+use crate::call::{Answer, Call, CallKey, Order, Pending, Question};
 use crate::grants::{Grant, Grants};
 use crate::inflow::Inflow;
 use crate::job::{Batch, BatchKey, TaskState};
@@ -19,7 +19,7 @@
 use crate::times::Times;
 use crate::told::Told;
 use crate::worker::{Grip, Worker, WorkerKey, domain_of};
-use crate::{Note, PoolConfig};
+use crate::{Departure, Note, PoolConfig};
 
 /// What happened outside.
 #[derive(Clone, Debug)]
@@ -172,10 +172,24 @@
         }
     }
 
-    /// Whether anything is open here: runs, waiting tasks, or calls.
+    /// Whether nothing is open here: no runs, waiting tasks, or calls but looks at workers with nothing to do.
     #[must_use]
     pub fn is_idle(&self) -> bool {
-        self.runs.is_empty() && self.batches.is_empty() && self.calls.is_empty()
+        let settled = self.runs.is_empty() && self.batches.is_empty();
+        settled && self.calls.values().all(|call| self.is_routine(*call))
+    }
+
+    /// Whether a call only asks an idle worker for a sign of life.
+    fn is_routine(&self, call: Pending) -> bool {
+        match call {
+            Pending::Look(worker, Question::Ends, _) => {
+                self.workers.get(worker).is_some_and(Worker::is_settled)
+            }
+            Pending::Look(_, Question::Order, _)
+            | Pending::Start(_)
+            | Pending::Stop(_)
+            | Pending::StopAlien(_) => false,
+        }
     }
 
     /// How many steps of jobs and runs are open, and how many workers obey.
@@ -236,7 +250,7 @@
         let known = self.names.get(&note.id).copied();
         if note.stage == WorkerStage::Gone {
             if let Some(key) = known {
-                self.forget_worker(now, key, "it has left", out);
+                self.forget_worker(now, key, Departure::Left, out);
             }
             return;
         }
--- a/crates/celerywinch_pool/src/worker.rs
+++ b/crates/celerywinch_pool/src/worker.rs
@@ -5,8 +5,8 @@
 use celerywinch_types::{Domain, Room, Time, WorkerClock, WorkerNote, WorkerStage, stable_hash};
 use slotmap::new_key_type;
 
-use crate::call::CallKey;
-use crate::config::{CLOCK_ERROR, LEASE_MARGIN};
+use crate::call::{CallKey, Question};
+use crate::config::{CLOCK_ERROR, LEASE_MARGIN, OLDEST_READING};
 use crate::patience::Patience;
 use crate::run::RunKey;
 
@@ -61,8 +61,10 @@
     pub(crate) patience: Patience,
     /// When to look again though nothing runs.
     pub(crate) look_at: Time,
-    /// Looks and orders in a row without an answer.
+    /// Looks and orders in a row without an answer, and when the first of them was noticed.
     pub(crate) silent: u32,
+    missed: Time,
+    /// When it answered last; an idle one is not asked.
     pub(crate) heard: Time,
     /// How much longer than usual work takes there.
     pub(crate) pace: f64,
@@ -93,6 +95,7 @@
             patience: Patience::default(),
             look_at: Time::NEVER,
             silent: 0,
+            missed: now,
             heard: now,
             pace: 1.0,
             failing: 0.0,
@@ -121,6 +124,44 @@
         self.silent = 0;
     }
 
+    /// Whether it obeys and answers, has nothing to do, and was told of all ends that were read.
+    pub(crate) fn is_settled(&self) -> bool {
+        let idle = self.runs.is_empty() && self.aliens == 0;
+        idle && self.grip == Grip::Held && self.silent == 0 && self.cursor == self.acknowledged
+    }
+
+    /// The look of a kind that is under way.
+    pub(crate) fn asked(&mut self, question: Question) -> &mut Option<CallKey> {
+        match question {
+            Question::Ends => &mut self.look,
+            Question::Order => &mut self.check,
+        }
+    }
+
+    /// An order or a look had no answer.
+    pub(crate) fn miss(&mut self, now: Time) {
+        if self.silent == 0 {
+            self.missed = now;
+        }
+        self.silent += 1;
+    }
+
+    /// Whether it was asked in vain for so long, and nothing of this dispatcher can be at work there any more.
+    ///
+    /// That it was not heard for as long says nothing: an idle worker is not asked. A dispatcher that counted
+    /// from the last answer forgot such a worker, and its run with it, when the answer to the first order was
+    /// late, and the caller's task ran a second time elsewhere. Runs are given up with their lease alone.
+    pub(crate) fn is_lost(&self, now: Time, forget: Duration) -> bool {
+        self.silent > 0 && self.runs.is_empty() && now.since(self.missed) > forget
+    }
+
+    /// Whether a lease can be counted from the last reading of its clock. From one of minutes ago it might last
+    /// seconds longer than a successor waits for it, and the caller's task run at both.
+    fn has_clock(&self, now: Time) -> bool {
+        let read = self.clock.map(|(read, _)| now.since(read));
+        read.is_some_and(|age| age <= OLDEST_READING)
+    }
+
     /// The end of a lease that starts now, on the worker's clock; none before the first reading.
     pub(crate) fn deadline(&self, now: Time, lease: Duration) -> Option<WorkerClock> {
         let (read, clock) = self.clock?;
@@ -140,7 +181,11 @@
     pub(crate) fn takes(&self, now: Time) -> bool {
         let sound = self.grip == Grip::Held && self.silent == 0 && self.aliens == 0;
         let idle = !self.probation || self.runs.is_empty();
-        sound && idle && self.note.stage == WorkerStage::Ready && self.aside <= now
+        sound
+            && idle
+            && self.has_clock(now)
+            && self.note.stage == WorkerStage::Ready
+            && self.aside <= now
     }
 
     pub(crate) fn rack_is(&self, rack: &str) -> bool {
