Simulated workers have slow clocks, and refuse calls

By the users' page a worker's steady clock may be 2% slow; the simulated ones were right, so the allowances for that in the pool had no test that could miss them. No call to a worker was ever refused either, though the pool takes a refusal as sure.

With `refused`, workers that are down refuse calls, and some that are alive do for 0.2 to 2.5 s.

--- a/crates/celerywinch/src/commands/soak.rs
+++ b/crates/celerywinch/src/commands/soak.rs
@@ -16,7 +16,7 @@
     run,
 };
 
-const BRIEF: &str = "Usage: celerywinch soak [--seed N] [--steps M] [--calm] [--store]\n       celerywinch soak --members [--seed N] [--runs M] [--held]\n                                  [--congested] [--refused]\n\n\
+const BRIEF: &str = "Usage: celerywinch soak [--seed N] [--steps M] [--calm] [--store]\n       celerywinch soak --members [--seed N] [--runs M] [--held]\n                                  [--congested] [--refused] [--drift]\n\n\
     Drives the entries' state machines with a virtual clock under lost, doubled, delayed and\n\
     reordered messages, deaths, freezes, cuts and lost memory. One seed gives one run.\n\
     Prints `steps=… starts=… violations=…` last and exits 1 on a violation.";
@@ -76,7 +76,12 @@
     options.optflag(
         "",
         "refused",
-        "with --members: have members that are alive refused connections, too",
+        "with --members: have members and workers that are alive refuse connections, too",
+    );
+    options.optflag(
+        "",
+        "drift",
+        "with --members: steady clocks of workers are up to 2% slow",
     );
     options.optopt(
         "",
@@ -97,6 +102,7 @@
             held: matches.opt_present("held"),
             congested: matches.opt_present("congested"),
             refused: matches.opt_present("refused"),
+            drift: matches.opt_present("drift"),
         };
         return Ok(members(seed, runs, kinds, job));
     }
@@ -148,6 +154,7 @@
     held: bool,
     congested: bool,
     refused: bool,
+    drift: bool,
 }
 
 /// The brief's kinds of jobs. Where messages are late or lost for seconds their callers wait longer, or none
@@ -194,6 +201,7 @@
             held: kinds.held,
             congested: kinds.congested,
             refused: kinds.refused,
+            drift: kinds.drift,
         }),
         follow: follow.map(JobId),
     }
--- a/crates/celerywinch_bench/src/members/faults.rs
+++ b/crates/celerywinch_bench/src/members/faults.rs
@@ -26,8 +26,11 @@
     /// reach them up to 2 s late, in order, while what they send goes out in time; and whether answers of
     /// single workers are lost though their orders were carried out.
     pub congested: bool,
-    /// Whether members that are alive are refused connections by others: those count as lost at once.
+    /// Whether members that are alive are refused connections by others: those count as lost at once; and
+    /// whether calls are refused by workers that are down, and by some that are alive.
     pub refused: bool,
+    /// Whether the steady clocks of workers are up to 2% slow, each by its own share.
+    pub drift: bool,
 }
 
 /// A fault.
@@ -47,6 +50,7 @@
     Congest,
     LoseAnswers,
     Refuse,
+    RefuseCalls,
 }
 
 const MEMBER_FAULTS: [Fault; 4] = [Fault::Kill, Fault::Leave, Fault::Freeze, Fault::Cut];
@@ -58,7 +62,7 @@
     Fault::Congest,
     Fault::LoseAnswers,
 ];
-const REFUSED_FAULTS: [Fault; 2] = [Fault::Refuse, Fault::Refuse];
+const REFUSED_FAULTS: [Fault; 3] = [Fault::Refuse, Fault::Refuse, Fault::RefuseCalls];
 const WORKER_FAULTS: [Fault; 6] = [
     Fault::Crash,
     Fault::Hang,
@@ -108,6 +112,7 @@
             Fault::Congest => self.congest(lasts),
             Fault::LoseAnswers => self.lose_answers(lasts),
             Fault::Refuse => self.refuse_links(lasts),
+            Fault::RefuseCalls => self.refuse_calls(lasts),
         }
     }
 }
--- a/crates/celerywinch_bench/src/members/workers.rs
+++ b/crates/celerywinch_bench/src/members/workers.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use celerywinch_pool::{Answer, Call, Order};
-use celerywinch_standin::{Health, LeasedWorker};
+use celerywinch_standin::{Health, LeasedWorker, Ran};
 use celerywinch_types::{DataCentreId, FleetMsg, Room, TaskId, Time, WorkerNote, WorkerStage};
 use rand::Rng;
 
@@ -46,6 +46,27 @@
     pub(crate) late: Time,
     /// Its answers are lost until then.
     pub(crate) mute: Time,
+    /// Calls are refused until then.
+    pub(crate) refuses: Time,
+    /// How fast its clock runs.
+    pub(crate) rate: f64,
+}
+
+impl WorkerHost {
+    /// A moment by the worker's clock.
+    pub(crate) fn local(&self, now: Time) -> Time {
+        Time((now.0 as f64 * self.rate) as u64)
+    }
+
+    /// What ended there, by the true time.
+    pub(crate) fn history(&self) -> impl Iterator<Item = Ran> {
+        let real = |at: Time| Time((at.0 as f64 / self.rate) as u64);
+        self.worker.history.iter().map(move |ran| Ran {
+            from: real(ran.from),
+            to: real(ran.to),
+            ..*ran
+        })
+    }
 }
 
 /// A call on its way.
@@ -102,7 +123,14 @@
     pub(crate) fn ordered(&mut self, index: usize, way: OnWay) {
         let host = &self.workers[index];
         let cut = self.is_cut(self.members[way.from].dc, host.dc);
-        if !host.up || cut || host.loses > self.now {
+        if cut || host.loses > self.now {
+            return;
+        }
+        if self.is_refused(index) {
+            self.reply(index, &way, Answer::Refused);
+            return;
+        }
+        if !host.up {
             return;
         }
         if host.worker.id != way.call.worker {
@@ -118,7 +146,8 @@
             return;
         }
         if let Order::Look { cursor, wait, .. } = way.call.order {
-            self.workers[index].worker.advance(self.now);
+            let local = self.workers[index].local(self.now);
+            self.workers[index].worker.advance(local);
             let until = way.since + Duration::from_millis(wait.into());
             if self.now < until && !self.workers[index].worker.has_news(cursor) {
                 self.extend(index, &way);
@@ -158,7 +187,7 @@
             Order::Start { task, .. } => self.work_of(*task),
             Order::Stop { .. } | Order::Look { .. } => (Room::default(), Duration::ZERO),
         };
-        let now = self.now;
+        let now = self.workers[index].local(self.now);
         let worker = &mut self.workers[index].worker;
         if worker.id != call.worker {
             return Answer::OtherLife;
@@ -195,7 +224,7 @@
         if !host.up {
             return;
         }
-        host.worker.crash(now);
+        host.worker.crash(host.local(now));
         host.up = false;
         self.at(now + lasts, Event::WorkerBack(index));
     }
@@ -207,25 +236,26 @@
         host.up = true;
         let id = format!("worker-{index}-{}", host.lives);
         let room = host.worker.room;
-        let next = LeasedWorker::new(now, &id, room);
-        let before = std::mem::replace(&mut host.worker, next);
-        self.history.extend(before.history);
+        let next = LeasedWorker::new(host.local(now), &id, room);
+        self.history.extend(host.history());
+        host.worker = next;
         self.at(now + ANNOUNCE, Event::Announce(index));
     }
 
     pub(crate) fn weaken(&mut self, health: Health, lasts: Duration) {
         let index = self.pick_worker();
         let now = self.now;
+        let local = self.workers[index].local(now);
         let worker = &mut self.workers[index].worker;
-        worker.advance(now);
+        worker.advance(local);
         worker.health = health;
         self.at(now + lasts, Event::Heal(index));
     }
 
     pub(crate) fn heal(&mut self, index: usize) {
-        let now = self.now;
+        let local = self.workers[index].local(self.now);
         let worker = &mut self.workers[index].worker;
-        worker.advance(now);
+        worker.advance(local);
         worker.health = Health::Sound(1.0);
     }
 
@@ -240,6 +270,18 @@
         self.say(|| format!("worker-{index} loses answers"));
     }
 
+    pub(crate) fn refuse_calls(&mut self, lasts: Duration) {
+        let index = self.pick_worker();
+        self.workers[index].refuses = self.now + lasts;
+    }
+
+    /// Whether nobody listens at a worker's address, or nobody can connect to it.
+    fn is_refused(&self, index: usize) -> bool {
+        let host = &self.workers[index];
+        let plan = self.options.faults;
+        plan.is_some_and(|plan| plan.refused) && (!host.up || host.refuses > self.now)
+    }
+
     pub(crate) fn late_orders(&mut self, lasts: Duration) {
         let index = self.pick_worker();
         self.workers[index].late = self.now + lasts;
--- a/crates/celerywinch_bench/src/members/world.rs
+++ b/crates/celerywinch_bench/src/members/world.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use celerywinch_member::{Input, Member, MemberConfig, Output};
-use celerywinch_pool::{Answer, CallKey, Note, PoolConfig};
+use celerywinch_pool::{Answer, CLOCK_ERROR, CallKey, Note, PoolConfig};
 use celerywinch_standin::{LeasedWorker, Ran};
 use celerywinch_types::{
     Beat, DataCentreId, FleetMsg, Incarnation, InstanceId, JobEnd, JobId, Part, Process, Room,
@@ -218,6 +218,8 @@
                 loses: Time(0),
                 late: Time(0),
                 mute: Time(0),
+                refuses: Time(0),
+                rate: world.clock_rate(index),
             });
         }
         for class in 0..world.options.load.classes.len() {
@@ -232,6 +234,15 @@
         world
     }
 
+    /// How fast the clock of a worker runs: right, or up to 2% slow.
+    fn clock_rate(&self, worker: u32) -> f64 {
+        if self.options.faults.is_none_or(|plan| !plan.drift) {
+            return 1.0;
+        }
+        let drawn = score(self.options.seed, worker.into()) % 3;
+        1.0 - CLOCK_ERROR * drawn as f64 / 2.0
+    }
+
     pub(crate) fn at(&mut self, due: Time, event: Event) {
         self.events.subscribe(due, event);
     }
@@ -550,8 +561,8 @@
 
     fn report(mut self) -> MembersReport {
         for host in &mut self.workers {
-            host.worker.advance(self.now);
-            self.history.extend(host.worker.history.iter().copied());
+            host.worker.advance(host.local(self.now));
+            self.history.extend(host.history());
         }
         let mut report = MembersReport {
             classes: vec![ClassFigures::default(); self.options.load.classes.len()],
