--- a/crates/celerywinch_pool/src/worker.rs
+++ b/crates/celerywinch_pool/src/worker.rs
@@ -177,6 +177,12 @@
         now + lease + drift + LEASE_MARGIN
     }
 
+    /// The latest moment at which a lease that another dispatcher has asked for by now can end.
+    pub(crate) fn longest(now: Time, lease: Duration) -> Time {
+        let drift = (OLDEST_READING + lease).mul_f64(CLOCK_ERROR);
+        now + lease + drift + LEASE_MARGIN
+    }
+
     /// Whether a new task may be sent there.
     pub(crate) fn takes(&self, now: Time) -> bool {
         let sound = self.grip == Grip::Held && self.silent == 0 && self.aliens == 0;
