--- a/crates/celerywinch_pool/src/config.rs
+++ b/crates/celerywinch_pool/src/config.rs
@@ -30,10 +30,10 @@
     pub order: Duration,
     /// How long ends wait for being acknowledged to a worker that has nothing else to do.
     pub tidy: Duration,
-    /// An idle worker is looked at this often. Its clock may lose 2% of the time since the last reading, so a
-    /// lease that is counted from there lasts up to 80 ms longer than from a fresh one; the argument of the grants
-    /// has 109 ms to spare. And a task does not find out by its own start that a worker is dead. 350 idle workers
-    /// cost 88 looks/s, a thirtieth of what they get under load.
+    /// An idle worker is looked at this often. Its clock may lose 2% of the time since the last reading, and a lease
+    /// that is counted from there lasts so much longer: 90 ms at most, which the waits for lost dispatchers count.
+    /// And a task does not find out by its own start that a worker is dead. 350 idle workers cost 88 looks/s, a
+    /// thirtieth of what they get under load.
     pub idle: Duration,
     /// A domain whose workers said nothing for this long has one of them asked, when its
     /// dispatcher needs to know whether they can be reached. Several can be asked one after the
