Tests of entries whose sources do not send, or have lost what is fetched

Cause, first test. A source that did not send in time is asked last for SILENT (2 s, spread.rs). The wait for a piece rises to MOST (1.2 s, transfer.rs), by what the last piece took, times it was asked for in vain included. Three sources that rank first and do not send take 3.6 s: the first one's mark is over before the one that sends is asked again.

Cause, second test. A transfer ends, goes on, or is overtaken by a higher version.

--- /dev/null
+++ b/crates/celerywinch_fleet/tests/sources.rs
@@ -0,0 +1,166 @@
+//! Entries whose sources have what they need no more, or do not send.
+
+use std::time::Duration;
+
+use celerywinch_fleet::{Spread, SpreadInput, SpreadOutput, Told};
+use celerywinch_registry::Held;
+use celerywinch_types::{DataCentreId, InstanceId, Part, SpreadMsg, Time};
+use rstest::rstest;
+
+const DC: DataCentreId = DataCentreId(0);
+const ME: InstanceId = InstanceId(2);
+/// Between two heartbeats, in ms.
+const BEAT: u64 = 100;
+const TICK: u64 = 10;
+
+/// Another process, with its copies.
+struct Source {
+    told: Told,
+    spread: Spread,
+    /// How long its pieces take, in ms; none if nothing that it sends arrives but heartbeats.
+    takes: Option<u64>,
+}
+
+impl Source {
+    fn new(instance: u32, part: Part, version: u64, takes: Option<u64>) -> Self {
+        let instance = InstanceId(instance);
+        let mut spread = Spread::new(instance, part, DC);
+        let held = SpreadInput::Held(document(version));
+        spread.handle(Time(1_000_000), held, &mut Vec::new());
+        let told = Told {
+            instance,
+            part,
+            dc: DC,
+            version,
+        };
+        Self {
+            told,
+            spread,
+            takes,
+        }
+    }
+}
+
+/// 200 KB: 13 pieces.
+fn document(version: u64) -> Held {
+    Held {
+        version,
+        document: vec![version as u8; 200_000],
+    }
+}
+
+/// An entry that hears others.
+struct Entry {
+    spread: Spread,
+    now: Time,
+    sources: Vec<Source>,
+    coming: Vec<(Time, InstanceId, SpreadMsg)>,
+    whole: Vec<u64>,
+}
+
+impl Entry {
+    fn new(version: u64, sources: Vec<Source>) -> Self {
+        let mut entry = Self {
+            spread: Spread::new(ME, Part::Entry, DC),
+            now: Time(10_000_000),
+            sources,
+            coming: Vec::new(),
+            whole: Vec::new(),
+        };
+        entry.take(SpreadInput::Held(document(version)));
+        entry
+    }
+
+    fn take(&mut self, input: SpreadInput) {
+        let mut out = Vec::new();
+        self.spread.handle(self.now, input, &mut out);
+        for output in out {
+            match output {
+                SpreadOutput::Send(to, msg) => self.ask(to, msg),
+                SpreadOutput::Whole(held) => {
+                    self.whole.push(held.version);
+                    self.take(SpreadInput::Held(held));
+                }
+                SpreadOutput::Tell(_) | SpreadOutput::Note(_) => {}
+            }
+        }
+    }
+
+    fn ask(&mut self, to: InstanceId, msg: SpreadMsg) {
+        let now = self.now;
+        let mut sources = self.sources.iter_mut();
+        let source = sources.find(|source| source.told.instance == to);
+        let Some((source, takes)) = source.and_then(|s| s.takes.map(|takes| (s, takes))) else {
+            return;
+        };
+        let mut out = Vec::new();
+        let input = SpreadInput::Message(ME, msg);
+        source.spread.handle(now, input, &mut out);
+        for output in out {
+            if let SpreadOutput::Send(_, piece) = output {
+                let at = now + Duration::from_millis(takes);
+                self.coming.push((at, to, piece));
+            }
+        }
+    }
+
+    fn pass(&mut self, ms: u64) {
+        for step in 0..ms / TICK {
+            if step % (BEAT / TICK) == 0 {
+                let told: Vec<_> = self.sources.iter().map(|source| source.told).collect();
+                told.into_iter()
+                    .for_each(|told| self.take(SpreadInput::Heard(told)));
+            }
+            self.now = self.now + Duration::from_millis(TICK);
+            let now = self.now;
+            let coming = std::mem::take(&mut self.coming);
+            let (due, later) = coming.into_iter().partition(|(at, ..)| *at <= now);
+            self.coming = later;
+            let due: Vec<_> = due;
+            for (_, from, msg) in due {
+                self.take(SpreadInput::Message(from, msg));
+            }
+            self.take(SpreadInput::Tick);
+        }
+    }
+}
+
+/// Callers: rules that ended long ago are still obeyed at one entry. Some keepers are heard, but what the entry asks them
+/// does not arrive or is not answered; another entry sends each piece in 300 ms, on a slow link. A process that did not
+/// send is asked last for 2 s, and each is waited for 1.2 s: with three of them the first one comes before the
+/// entry that sends again, for ever.
+#[rstest]
+#[case::none(0)]
+#[case::two(2)]
+#[case::three(3)]
+#[case::six(6)]
+fn source_that_sends_is_asked_beside_mute_ones(#[case] mute: u32) {
+    let keepers = (0..mute).map(|n| Source::new(10 + n, Part::Keeper, 8, None));
+    let mut sources: Vec<_> = keepers.collect();
+    sources.push(Source::new(30, Part::Entry, 8, Some(300)));
+    let mut entry = Entry::new(7, sources);
+    entry.pass(60_000);
+    assert_eq!(entry.whole, [8]);
+}
+
+/// Callers: rules that ended long ago are still obeyed at one entry. It has just begun to fetch a version of the only process
+/// that has it, which then is lost, or is back with what it had written to its disk before. Nobody else has the
+/// version, so it is asked for again and again, and the one below it, which all others have, is not.
+#[rstest]
+#[case::lost(None)]
+#[case::back_with_an_older_version(Some(8))]
+fn version_below_one_that_is_lost_is_fetched(#[case] back: Option<u64>) {
+    let keepers = |version| Source::new(10, Part::Keeper, version, Some(20));
+    let mut entry = Entry::new(7, vec![keepers(9)]);
+    entry.pass(100);
+    entry.sources.clear();
+    entry.sources.extend(back.map(keepers));
+    entry
+        .sources
+        .push(Source::new(11, Part::Keeper, 8, Some(20)));
+    entry
+        .sources
+        .push(Source::new(30, Part::Entry, 8, Some(20)));
+    entry.pass(10_000);
+    assert_eq!(entry.whole, [8]);
+}
