A domain is asked for a sign of life also while dead workers of it are

With five or more dead of an otherwise idle domain no sound worker was asked, and the domain was given up.

--- a/crates/celerywinch_pool/src/leases.rs
+++ b/crates/celerywinch_pool/src/leases.rs
@@ -134,10 +134,12 @@
         }
         let there = self.workers.iter().filter(|(_, w)| w.domain == domain);
         let mut held = there.filter(|(_, w)| w.grip == Grip::Held);
-        if held.clone().any(|(_, w)| w.look.is_some()) {
+        // Those that have missed a call are looked at again by themselves. That one of them is being asked is no
+        // reason to wait: beside a few dead ones there always is, and a domain whose other workers would
+        // answer would be given up.
+        if held.clone().any(|(_, w)| w.look.is_some() && w.silent == 0) {
             return;
         }
-        // Those that have missed a call are looked at again by themselves.
         let sound = held.by_ref().filter(|(_, w)| w.silent == 0);
         let Some((key, _)) = sound.max_by_key(|(_, w)| w.heard) else {
             return;
