Looks at idle workers are spread over time

Change: an idle worker is looked at again after 3 to 4 s, by the hash of its name. Test first: 40 of 40 looks within 100 ms before, 10 at most now; the tests of the pool pass.

--- a/crates/celerywinch_pool/src/results.rs
+++ b/crates/celerywinch_pool/src/results.rs
@@ -262,7 +262,7 @@
         worker.look_at = if idle && worker.cursor > worker.acknowledged {
             now + self.config.tidy
         } else if idle {
-            now + self.config.idle
+            now + worker.idle_wait(self.config.idle)
         } else {
             now
         };
--- a/crates/celerywinch_pool/src/worker.rs
+++ b/crates/celerywinch_pool/src/worker.rs
@@ -130,6 +130,15 @@
         idle && self.grip == Grip::Held && self.silent == 0 && self.cursor == self.acknowledged
     }
 
+    /// How long after a look an idle one is looked at again: up to a quarter less than `most`, by its name. Workers that
+    /// were taken over together would else be looked at together for ever, and a process that stands still for
+    /// 100 ms right then would take all of them for silent, and refuse callers.
+    pub(crate) fn idle_wait(&self, most: Duration) -> Duration {
+        let spread = u64::from(u32::MAX);
+        let share = stable_hash(self.note.id.as_bytes()) % spread;
+        most - most.mul_f64(share as f64 / spread as f64 / 4.0)
+    }
+
     /// The look of a kind that is under way.
     pub(crate) fn asked(&mut self, question: Question) -> &mut Option<CallKey> {
         match question {
--- a/crates/celerywinch_pool/tests/silence.rs
+++ b/crates/celerywinch_pool/tests/silence.rs
@@ -99,6 +99,27 @@
     assert_eq!(rig.count(is_start), 1);
 }
 
+/// Callers are refused though all workers are free: they were taken over at one moment, and each is looked at again
+/// after the same time. A process with an eighth of a core that stands still for 100 ms right then takes all of
+/// them for silent at once. So looks at idle workers are spread over time.
+#[test]
+fn idle_workers_are_not_looked_at_all_at_once() {
+    let mut rig = Rig::new(Vec::new(), Vec::new());
+    rig.take(Input::Resign(DOMAIN));
+    let others = (2..=40).map(|port| note(&format!("w{port}"), port));
+    rig.take(Input::Workers(others.collect()));
+    rig.take(Input::Acquire(DOMAIN, Fence(7)));
+    pass(&mut rig, 1_000, NOBODY);
+    let mut most = 0;
+    for _ in 0..90 {
+        let before = rig.count(is_look);
+        pass(&mut rig, 100, NOBODY);
+        most = most.max(rig.count(is_look) - before);
+    }
+    assert!(most <= 10, "{most} of 40 within 100 ms");
+    assert!(rig.count(is_look) >= 80 + 40, "each is looked at twice");
+}
+
 /// A list of workers would grow for as long as the dispatcher lives: a worker that never answers again, and
 /// that nobody says has left, is forgotten in the end.
 #[test]
