A transfer goes round all its sources, and ends when nobody has its version any more

Sources that do not send were asked last for 2 s; with three of them, each waited for 1.2 s, the first came before the one that sends again, for ever. And a transfer whose version was lost with its only source kept from the version below it.

--- a/crates/celerywinch_fleet/src/spread.rs
+++ b/crates/celerywinch_fleet/src/spread.rs
@@ -20,7 +20,7 @@
 
 /// A process that was not heard for this long is not asked; the window of slow heartbeats.
 const HEARD: Duration = Duration::from_millis(1_750);
-/// One that sent no piece in time is asked after all others for this long. Pauses of a process and resets of
+/// One that sent no piece in time is asked after all others for this long, and as long as the transfer goes on. Pauses of a process and resets of
 /// links are shorter.
 const SILENT: Duration = Duration::from_secs(2);
 /// After so many missed pieces in a row the newest version is asked for: no process may have the one under way.
@@ -212,7 +212,11 @@
 
     fn tick(&mut self, now: Time, out: &mut Vec<SpreadOutput>) {
         self.heard.retain(|_, (_, at)| now.since(*at) <= HEARD);
-        self.silent.retain(|_, at| now.since(*at) <= SILENT);
+        // While a transfer goes on, who has not sent stays behind who was not asked since: with several such
+        // sources, a mark that ended before the last of them was given up would bring the first one back, for ever.
+        if self.transfer.is_none() {
+            self.silent.retain(|_, at| now.since(*at) <= SILENT);
+        }
         self.copies.forget(now);
         self.miss(now, out);
         self.begin(now, out);
@@ -313,10 +317,13 @@
         }
         let source = transfer.source;
         let misses = transfer.miss(now);
-        let overtaken = newest > transfer.version;
+        let version = transfer.version;
         self.silent.insert(source, now);
-        if misses >= MISSES && overtaken {
+        // A version that nobody has any more, as its only source was lost, would else keep from the one below it.
+        if misses >= MISSES && newest > version {
             self.drop_transfer(source, "overtaken", out);
+        } else if misses >= MISSES && newest < version {
+            self.drop_transfer(source, "nobody has it", out);
         } else {
             self.ask(now, true, out);
         }
