--- a/crates/celerywinch_member/tests/origins.rs
+++ b/crates/celerywinch_member/tests/origins.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use celerywinch_member::{Input, Member, MemberConfig, Output};
-use celerywinch_pool::PoolConfig;
+use celerywinch_pool::{Answer, Call, EndedRow, How, Order, PoolConfig};
 use celerywinch_types::{
     Beat, DataCentreId, Doubt, Echo, Fence, FleetMsg, Incarnation, InstanceId, JobId, Part,
     Process, Room, RunNumber, Session, Stage, StepOrder, TaskOrder, Time, WallMs, WorkMsg,
+    WorkerClock, WorkerNote, WorkerStage,
 };
 use rstest::rstest;
 
@@ -200,3 +201,96 @@
     };
     assert_eq!(echo, echoed.then_some(wanted));
 }
+
+/// What a worker lists; no run is at work.
+fn lists(ended: Vec<EndedRow>) -> Answer {
+    Answer::Lists {
+        clock: WorkerClock(5_000),
+        running: Vec::new(),
+        ended,
+    }
+}
+
+fn calls(out: &[Output]) -> Vec<Call> {
+    let calls = out.iter().filter_map(|output| match output {
+        Output::Call(call) => Some(call.clone()),
+        _ => None,
+    });
+    calls.collect()
+}
+
+/// A caller's job runs twice: its entry is cut off from a dispatcher as the caller's connection to it breaks, and the
+/// caller sends the job to another entry 1.3 s later. The dispatcher drops what it has of an origin that it does
+/// not hear with its next tick; but it stands still for a moment, and the first thing that it does then is to start
+/// a waiting task on the worker that has room. Its lease would end after the caller has come again.
+#[rstest]
+#[case::heard_lately(300, true)]
+#[case::not_heard_for_as_long_as_the_living_are(360, false)]
+fn nothing_is_started_for_an_origin_that_is_not_heard(#[case] silent: u64, #[case] starts: bool) {
+    let mut now = Time(1_000_000);
+    let mut member = member(now, Part::Entry);
+    let cpu = 16_000;
+    let room = Room {
+        cpu,
+        ..Room::default()
+    };
+    let worker = WorkerNote {
+        id: "w1".to_owned(),
+        service: "s".to_owned(),
+        addr: ([127, 0, 0, 1], 1).into(),
+        dc: DC,
+        room,
+        labels: Vec::new(),
+        stage: WorkerStage::Ready,
+        sequence: 1,
+    };
+    let mut out = Vec::new();
+    member.handle(now, Input::Version(1), &mut out);
+    member.handle(now, Input::Workers(vec![worker]), &mut out);
+    for _ in 0..100 {
+        now = now + Duration::from_millis(10);
+        out.clear();
+        member.handle(now, Input::Beat(process(2, 1), beat(now)), &mut out);
+        member.handle(now, Input::Tick, &mut out);
+        for call in calls(&out) {
+            let answer = Input::Answered(call.key, lists(Vec::new()));
+            member.handle(now, answer, &mut Vec::new());
+        }
+    }
+    out.clear();
+    // The first fills the worker, the second waits for it.
+    for job in [7, 8] {
+        let mut order = order();
+        order.job = JobId(job);
+        order.need = room;
+        let msg = WorkMsg::Submit(order);
+        member.handle(now, Input::Work(process(2, 1), msg), &mut out);
+    }
+    let sent = calls(&out);
+    let start = sent.iter().find_map(|call| match &call.order {
+        Order::Start { task, run, .. } => Some((call.key, *task, *run)),
+        Order::Stop { .. } | Order::Look { .. } => None,
+    });
+    let (key, task, run) = start.expect("the first is started");
+    let taken = Input::Answered(key, Answer::Taken(WorkerClock(5_000)));
+    member.handle(now, taken, &mut out);
+    let looks = calls(&out);
+    let look = looks
+        .iter()
+        .rev()
+        .find(|call| matches!(call.order, Order::Look { .. }));
+    let look = look.expect("a look").key;
+    now = now + Duration::from_millis(silent);
+    out.clear();
+    let ended = EndedRow {
+        serial: 1,
+        task,
+        run,
+        how: How::Done,
+    };
+    member.handle(now, Input::Answered(look, lists(vec![ended])), &mut out);
+    let started = calls(&out)
+        .iter()
+        .any(|call| matches!(call.order, Order::Start { .. }));
+    assert_eq!(started, starts);
+}
