A grant ends with the silence after which its origin counts as lost

Weighed: a grant of 350 ms from the echo (heartbeats 150 ms late would suspend starts); the drop at the head of each input (the tick's work at every answer). Change: a grant ends 500 ms after the echo or 350 ms after the last heartbeat, whichever comes first: nothing is lost in service, for the origin counts as lost at that moment anyway.

--- a/crates/celerywinch_member/src/beats.rs
+++ b/crates/celerywinch_member/src/beats.rs
@@ -26,7 +26,9 @@
 /// A dispatcher may start tasks of an origin for this long after it sent what the origin has heard of it. The
 /// origin takes it for lost `ALIVE` after that at the earliest, or at once where connections are refused. Then
 /// 1,450 ms pass before the tasks are started elsewhere, of which the longest lease and its errors
-/// (931 ms) must be left. In ordinary service heartbeats of both sides lie between, 200 ms.
+/// (931 ms) must be left. In ordinary service heartbeats of both sides lie between, 200 ms. A grant also ends
+/// `ALIVE` after the last heartbeat: a caller whose connection breaks as its entry is cut off sends its job to another
+/// one after 1,300 ms, and what was started here must be over by then (350 + 931 ms).
 const GRANT: Duration = Duration::from_millis(500);
 /// Between two messages to one entry with what a dispatcher has learned; it changes by a few percent meanwhile.
 const TEACH: Duration = Duration::from_secs(1);
@@ -112,7 +114,7 @@
             let grant = Grant {
                 life: from.incarnation,
                 session: echo.session,
-                until: echo.sent + GRANT,
+                until: (echo.sent + GRANT).min(now + ALIVE),
             };
             self.pool_input(now, PoolInput::Granted(from.instance, grant), out);
         }
