--- /dev/null
+++ b/crates/celerywinch_bench/src/members/judge.rs
@@ -0,0 +1,80 @@
+//! What came of a run: figures, and broken promises.
+
+use celerywinch_standin::Ran;
+use celerywinch_types::{JobEnd, TaskId};
+
+use super::callers::CallerJob;
+use super::history::{Violation, done, overlaps};
+use super::load::ClassFigures;
+use super::world::{MembersReport, World};
+
+impl World {
+    /// Compares what was seen with what was promised.
+    pub(crate) fn report(mut self) -> MembersReport {
+        for host in &mut self.workers {
+            host.worker.advance(host.local(self.now));
+            self.history.extend(host.history());
+        }
+        let mut report = MembersReport {
+            classes: vec![ClassFigures::default(); self.options.load.classes.len()],
+            violations: overlaps(&self.history),
+            ..MembersReport::default()
+        };
+        let cut = |ran: &&Ran| ran.how == celerywinch_pool::How::Cut;
+        report.runs = (self.history.len(), self.history.iter().filter(cut).count());
+        for job in &self.jobs {
+            self.judge(job, &mut report);
+        }
+        for host in &self.members {
+            if let Some(member) = &host.member
+                && member.is_busy()
+            {
+                let counts = member.pool().counts();
+                let text = format!("{} jobs, pool {counts:?}", member.open_jobs());
+                report.violations.push(Violation::Restless(text));
+            }
+        }
+        report
+    }
+
+    fn judge(&self, job: &CallerJob, report: &mut MembersReport) {
+        let figures = &mut report.classes[job.class];
+        figures.asked += 1;
+        match job.end {
+            Some((at, JobEnd::Completed)) => {
+                if at <= job.due {
+                    figures.in_aim += 1;
+                } else {
+                    figures.late += 1;
+                }
+                let tasks = (0..job.takes.len() as u16).map(|index| TaskId {
+                    job: job.id,
+                    step: 0,
+                    index,
+                });
+                let missing = tasks.filter(|task| !done(&self.history, *task));
+                report.violations.extend(missing.map(Violation::NotDone));
+            }
+            Some((_, JobEnd::Failed)) => figures.failed += 1,
+            Some((at, JobEnd::Refused(_))) => {
+                figures.refused += 1;
+                let took = at.since(job.sent).as_millis() as u32;
+                figures.slowest_refusal = figures.slowest_refusal.max(took);
+                let ran = self.history.iter().find(|ran| ran.task.job == job.id);
+                if let Some(ran) = ran.filter(|_| job.tries == 1) {
+                    report
+                        .violations
+                        .push(Violation::FalseRefusal(job.id, *ran));
+                }
+            }
+            Some((_, JobEnd::Unsure)) | None => {
+                figures.lost += 1;
+                if !job.gave_up && job.end.is_none() && job.tries == 1 {
+                    report
+                        .violations
+                        .push(Violation::NoAnswer(job.id, job.first));
+                }
+            }
+        }
+    }
+}
--- a/crates/celerywinch_bench/src/members/mod.rs
+++ b/crates/celerywinch_bench/src/members/mod.rs
@@ -6,6 +6,7 @@
 mod cuts;
 mod faults;
 mod history;
+mod judge;
 mod load;
 mod refusals;
 mod workers;
--- a/crates/celerywinch_bench/src/members/world.rs
+++ b/crates/celerywinch_bench/src/members/world.rs
@@ -7,8 +7,8 @@
 use celerywinch_pool::{Answer, CLOCK_ERROR, CallKey, Note, PoolConfig};
 use celerywinch_standin::{LeasedWorker, Ran};
 use celerywinch_types::{
-    Beat, DataCentreId, FleetMsg, Incarnation, InstanceId, JobEnd, JobId, Part, Process, Room,
-    TaskId, Time, TimerQueue, WallMs, score,
+    Beat, DataCentreId, FleetMsg, Incarnation, InstanceId, JobId, Part, Process, Room, Time,
+    TimerQueue, WallMs, score,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -17,7 +17,7 @@
 use super::congestion::Backlog;
 use super::cuts::Apart;
 use super::faults::FaultPlan;
-use super::history::{Violation, done, overlaps};
+use super::history::Violation;
 use super::load::{ClassFigures, LoadPlan};
 use super::refusals::Refusals;
 use super::workers::{OnWay, Unanswered, WorkerHost};
@@ -558,72 +558,4 @@
         let longest = classes.map(|class| class.timeout).max().unwrap_or(0);
         REST.max(Duration::from_millis(longest.into()) + AFTER_LAST)
     }
-
-    fn report(mut self) -> MembersReport {
-        for host in &mut self.workers {
-            host.worker.advance(host.local(self.now));
-            self.history.extend(host.history());
-        }
-        let mut report = MembersReport {
-            classes: vec![ClassFigures::default(); self.options.load.classes.len()],
-            violations: overlaps(&self.history),
-            ..MembersReport::default()
-        };
-        let cut = |ran: &&Ran| ran.how == celerywinch_pool::How::Cut;
-        report.runs = (self.history.len(), self.history.iter().filter(cut).count());
-        for job in &self.jobs {
-            self.judge(job, &mut report);
-        }
-        for host in &self.members {
-            if let Some(member) = &host.member
-                && member.is_busy()
-            {
-                let counts = member.pool().counts();
-                let text = format!("{} jobs, pool {counts:?}", member.open_jobs());
-                report.violations.push(Violation::Restless(text));
-            }
-        }
-        report
-    }
-
-    fn judge(&self, job: &CallerJob, report: &mut MembersReport) {
-        let figures = &mut report.classes[job.class];
-        figures.asked += 1;
-        match job.end {
-            Some((at, JobEnd::Completed)) => {
-                if at <= job.due {
-                    figures.in_aim += 1;
-                } else {
-                    figures.late += 1;
-                }
-                let tasks = (0..job.takes.len() as u16).map(|index| TaskId {
-                    job: job.id,
-                    step: 0,
-                    index,
-                });
-                let missing = tasks.filter(|task| !done(&self.history, *task));
-                report.violations.extend(missing.map(Violation::NotDone));
-            }
-            Some((_, JobEnd::Failed)) => figures.failed += 1,
-            Some((at, JobEnd::Refused(_))) => {
-                figures.refused += 1;
-                let took = at.since(job.sent).as_millis() as u32;
-                figures.slowest_refusal = figures.slowest_refusal.max(took);
-                let ran = self.history.iter().find(|ran| ran.task.job == job.id);
-                if let Some(ran) = ran.filter(|_| job.tries == 1) {
-                    report
-                        .violations
-                        .push(Violation::FalseRefusal(job.id, *ran));
-                }
-            }
-            Some((_, JobEnd::Unsure)) | None => {
-                figures.lost += 1;
-                if !job.gave_up && job.end.is_none() && job.tries == 1 {
-                    report
-                        .violations
-                        .push(Violation::NoAnswer(job.id, job.first));
-                }
-            }
-        }
-    }
 }
