--- a/crates/celerywinch/src/commands/soak.rs
+++ b/crates/celerywinch/src/commands/soak.rs
@@ -4,7 +4,7 @@
 
 use celerywinch_bench::members;
 
-use celerywinch_types::JobId;
+use celerywinch_types::{JobId, Without};
 
 use super::{Command, number, parse};
 use crate::ExitStatus;
@@ -16,7 +16,7 @@
     run,
 };
 
-const BRIEF: &str = "Usage: celerywinch soak [--seed N] [--steps M] [--calm] [--store]\n       celerywinch soak --members [--seed N] [--runs M] [--held]\n                                  [--congested] [--refused] [--drift]\n\n\
+const BRIEF: &str = "Usage: celerywinch soak [--seed N] [--steps M] [--calm] [--store]\n       celerywinch soak --members [--seed N] [--runs M] [--held]\n                                  [--congested] [--refused] [--drift] [--without NAMES]\n\n\
     Drives the entries' state machines with a virtual clock under lost, doubled, delayed and\n\
     reordered messages, deaths, freezes, cuts and lost memory. One seed gives one run.\n\
     Prints `steps=… starts=… violations=…` last and exits 1 on a violation.";
@@ -83,6 +83,12 @@
         "drift",
         "with --members: steady clocks of workers are up to 2% slow",
     );
+    options.optopt(
+        "",
+        "without",
+        "with --members: leave these mechanisms of dispatching out",
+        "NAMES",
+    );
     options.optopt(
         "",
         "follow-job",
@@ -103,6 +109,7 @@
             congested: matches.opt_present("congested"),
             refused: matches.opt_present("refused"),
             drift: matches.opt_present("drift"),
+            without: matches.opt_str("without").unwrap_or_default().parse()?,
         };
         return Ok(members(seed, runs, kinds, job));
     }
@@ -155,6 +162,7 @@
     congested: bool,
     refused: bool,
     drift: bool,
+    without: Without,
 }
 
 /// The brief's kinds of jobs. Where messages are late or lost for seconds their callers wait longer, or none
@@ -181,6 +189,8 @@
         entries: 7,
         workers: 48,
         shard: MEMBERS_SHARDS[(seed % MEMBERS_SHARDS.len() as u64) as usize],
+        without: kinds.without,
+        link: None,
         length: if kinds.congested {
             CONGESTED_LOAD
         } else {
--- a/crates/celerywinch_bench/src/members/judge.rs
+++ b/crates/celerywinch_bench/src/members/judge.rs
@@ -22,6 +22,7 @@
         };
         let cut = |ran: &&Ran| ran.how == celerywinch_pool::How::Cut;
         report.runs = (self.history.len(), self.history.iter().filter(cut).count());
+        report.control = self.members.iter().map(|host| host.control).collect();
         for job in &self.jobs {
             self.judge(job, &mut report);
         }
--- a/crates/celerywinch_bench/src/members/mod.rs
+++ b/crates/celerywinch_bench/src/members/mod.rs
@@ -9,11 +9,13 @@
 mod judge;
 mod load;
 mod refusals;
+mod wire;
 mod workers;
 mod world;
 
 pub use faults::FaultPlan;
 pub use history::{Violation, overlaps};
 pub use load::{BRIEF_CPU, ClassFigures, ClassPlan, LoadPlan, Lull, brief_classes};
+pub use wire::Control;
 pub use workers::Unanswered;
 pub use world::{MembersOptions, MembersReport, run};
--- /dev/null
+++ b/crates/celerywinch_bench/src/members/wire.rs
@@ -0,0 +1,75 @@
+//! Links of members that carry so many bytes a second, and what members send over them.
+
+use std::time::Duration;
+
+use celerywinch_pool::{Answer, Order};
+use celerywinch_types::{FleetMsg, Time};
+
+/// Headers of a message between members, by TCP, HTTP/2 and its frame.
+const FRAME: usize = 60;
+/// A call to a worker or its answer without what it is about: TCP, HTTP/1.1 and the JSON around it.
+const CALL: usize = 350;
+/// What a caller gives with a job is handed on with each start of a task; the mean of the brief's service.
+const SPEC: usize = 1_000;
+/// A row of a worker's lists.
+const ROW: usize = 60;
+
+/// One direction of a link.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Wire {
+    /// When all that was put on it has passed.
+    free: Time,
+}
+
+impl Wire {
+    /// When so many bytes that come at `at` have passed.
+    pub(crate) fn pass(&mut self, at: Time, bytes: usize, rate: Option<u64>) -> Time {
+        let Some(rate) = rate else {
+            return at;
+        };
+        let takes = Duration::from_secs_f64(bytes as f64 / rate as f64);
+        self.free = self.free.max(at) + takes;
+        self.free
+    }
+}
+
+/// What a member sends that is not callers' work.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Control {
+    /// Messages.
+    pub messages: usize,
+    /// Their bytes.
+    pub bytes: usize,
+}
+
+impl Control {
+    pub(crate) fn add(&mut self, msg: &FleetMsg, bytes: usize) {
+        if !matches!(msg, FleetMsg::Work(_)) {
+            self.messages += 1;
+            self.bytes += bytes;
+        }
+    }
+}
+
+pub(crate) fn size_of(msg: &FleetMsg) -> usize {
+    let encoded = bincode::serde::encode_to_vec(msg, bincode::config::standard());
+    let spec = match msg {
+        FleetMsg::Work(celerywinch_types::WorkMsg::Submit(_)) => SPEC,
+        _ => 0,
+    };
+    FRAME + spec + encoded.expect("plain data encodes").len()
+}
+
+pub(crate) fn size_of_order(order: &Order) -> usize {
+    match order {
+        Order::Start { .. } => CALL + SPEC,
+        Order::Stop { .. } | Order::Look { .. } => CALL,
+    }
+}
+
+pub(crate) fn size_of_answer(answer: &Answer) -> usize {
+    match answer {
+        Answer::Lists { running, ended, .. } => CALL + ROW * (running.len() + ended.len()),
+        _ => CALL,
+    }
+}
--- a/crates/celerywinch_bench/src/members/workers.rs
+++ b/crates/celerywinch_bench/src/members/workers.rs
@@ -7,8 +7,11 @@
 use celerywinch_types::{DataCentreId, FleetMsg, Room, TaskId, Time, WorkerNote, WorkerStage};
 use rand::Rng;
 
+use super::wire::{size_of_answer, size_of_order};
 use super::world::{Event, World};
 
+/// An answer that is late is listened for so much longer (`celerywinch_fleet`).
+const LISTENED: Duration = Duration::from_millis(600);
 /// Between two looks whether a waiting call can be answered.
 const POLL: Duration = Duration::from_millis(1);
 /// How long a new worker takes to announce itself.
@@ -76,6 +79,8 @@
     pub(crate) life: u64,
     pub(crate) call: Call,
     pub(crate) since: Time,
+    /// When it had left the member.
+    pub(crate) sent: Time,
 }
 
 impl World {
@@ -110,13 +115,15 @@
         self.at(self.now + call.timeout, timeout);
         let index = usize::from(call.addr.port()) - 1;
         let delay = self.delay(self.members[from].dc, self.workers[index].dc);
+        let sent = self.leave(from, size_of_order(&call.order));
         let way = OnWay {
             from,
             life,
             call,
             since: self.now,
+            sent,
         };
-        self.at(self.now + delay, Event::Order(index, way));
+        self.at(sent + delay, Event::Order(index, way));
     }
 
     /// A call arrives at a worker.
@@ -139,7 +146,7 @@
         }
         let order = matches!(way.call.order, Order::Start { .. } | Order::Stop { .. });
         let delay = self.delay(self.members[way.from].dc, self.workers[index].dc);
-        let arrives = self.now <= way.since + delay;
+        let arrives = self.now <= way.sent + delay;
         if (order && self.is_late(index)) || (arrives && self.is_unanswered()) {
             let late = Duration::from_millis(self.random.random_range(2_000..6_000));
             self.at(self.now + late, Event::LateOrder(index, way));
@@ -148,7 +155,7 @@
         if let Order::Look { cursor, wait, .. } = way.call.order {
             let local = self.workers[index].local(self.now);
             self.workers[index].worker.advance(local);
-            let until = way.since + Duration::from_millis(wait.into());
+            let until = way.sent + Duration::from_millis(wait.into());
             if self.now < until && !self.workers[index].worker.has_news(cursor) {
                 self.extend(index, &way);
                 self.at(self.now + POLL, Event::Order(index, way));
@@ -207,9 +214,16 @@
             return;
         }
         let delay = self.delay(self.members[way.from].dc, self.workers[index].dc);
+        let bytes = size_of_answer(&answer);
         let event = Event::Answer(way.from, way.life, way.call.key, answer);
-        let due = self.arrival(way.from, self.now + delay);
+        let due = self.reach(way.from, self.now + delay, bytes);
+        let due = self.arrival(way.from, due);
+        let late = due.since(way.since + way.call.timeout);
         self.at(due, event);
+        if !late.is_zero() && late <= LISTENED {
+            let took = due.since(way.since).saturating_sub(way.call.order.waits());
+            self.at(due, Event::LateAnswer(way.from, way.life, took));
+        }
     }
 
     fn pick_worker(&mut self) -> usize {
--- a/crates/celerywinch_bench/tests/members.rs
+++ b/crates/celerywinch_bench/tests/members.rs
@@ -4,6 +4,7 @@
     BRIEF_CPU, FaultPlan, LoadPlan, Lull, MembersOptions, MembersReport, Violation, brief_classes,
     run,
 };
+use celerywinch_types::Without;
 use rstest::rstest;
 
 fn options(seed: u64, length: u64) -> MembersOptions {
@@ -13,6 +14,8 @@
         entries: 7,
         workers: 48,
         shard: 80,
+        without: Without::default(),
+        link: None,
         length,
         load: LoadPlan {
             classes: brief_classes(),
--- a/crates/celerywinch_bench/tests/members_divided.rs
+++ b/crates/celerywinch_bench/tests/members_divided.rs
@@ -3,6 +3,7 @@
 use celerywinch_bench::members::{
     ClassFigures, ClassPlan, LoadPlan, MembersOptions, Violation, brief_classes, run,
 };
+use celerywinch_types::Without;
 use rstest::rstest;
 
 /// The brief's catalogue service after it has grown: 350 workers, seven times as many as today, and 28
@@ -19,6 +20,8 @@
         entries: 28,
         workers: 350,
         shard: 32,
+        without: Without::default(),
+        link: None,
         length,
         load: LoadPlan {
             classes: brief_classes().into_iter().map(grown).collect(),
--- a/crates/celerywinch_bench/tests/members_unanswered.rs
+++ b/crates/celerywinch_bench/tests/members_unanswered.rs
@@ -3,6 +3,7 @@
 use celerywinch_bench::members::{
     BRIEF_CPU, LoadPlan, MembersOptions, Unanswered, Violation, brief_classes, run,
 };
+use celerywinch_types::Without;
 use rstest::rstest;
 
 /// The usual load of the brief's catalogue service; for 4.6 s of 12 one call in eighteen gets no answer, as
@@ -14,6 +15,8 @@
         entries: 7,
         workers: 48,
         shard: 80,
+        without: Without::default(),
+        link: None,
         length: 12_000,
         load: LoadPlan {
             classes: brief_classes(),
--- a/crates/celerywinch_domains/src/domains.rs
+++ b/crates/celerywinch_domains/src/domains.rs
@@ -1,13 +1,11 @@
 //! The decision for which data centres this entry dispatches.
 
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use celerywinch_types::{
-    DataCentreId, Domain, Fence, InstanceId, Part, Stage, Time, WallMs, score,
-};
+use celerywinch_types::{DataCentreId, Domain, Fence, InstanceId, Stage, Time, WallMs};
 
+use crate::survey::{Circle, Standing, Survey};
 use crate::{PeerView, Peers};
 
 /// An entry listens this long after its start, and after a pause of its process, before it takes a
@@ -63,6 +61,7 @@
     /// In how many shards the workers are divided.
     shards: u8,
     undivided: bool,
+    unsettled: bool,
     held: BTreeMap<Domain, Fence>,
     /// The highest fencing token that was heard of.
     top: Fence,
@@ -85,6 +84,7 @@
             dcs,
             shards: 1,
             undivided: false,
+            unsettled: false,
             held: BTreeMap::new(),
             top: Fence(epoch << EPOCH_SHIFT),
             listens_from: now,
@@ -118,6 +118,11 @@
         self.undivided = undivided;
     }
 
+    /// Says whether the workers are about to be divided: what is not held yet is not taken before.
+    pub fn set_unsettled(&mut self, unsettled: bool) {
+        self.unsettled = unsettled;
+    }
+
     /// The highest fencing token that it knows of.
     #[must_use]
     pub fn top(&self) -> Fence {
@@ -184,24 +189,40 @@
                 self.heard.remove(&dc);
                 self.silent.entry(dc).or_insert(now);
             }
+        }
+        let survey = Survey::new(now, peers);
+        for dc in self.dcs.clone() {
             for shard in 0..self.shards {
                 let domain = Domain { dc, shard };
-                self.tend(now, domain, peers, reached.contains(&domain), out);
+                self.tend(now, domain, peers, &survey, reached.contains(&domain), out);
             }
         }
     }
 
+    /// Whom this entry has to hear often, to notice at once when it has to dispatch in their place, and who
+    /// would do so in its place; nobody before it serves.
+    #[must_use]
+    pub fn circle(&self, now: Time, peers: &Peers) -> Circle {
+        if self.me.stage != Stage::Ready {
+            return Circle::default();
+        }
+        Survey::new(now, peers).circle(self.shards, &self.standing())
+    }
+
+    fn standing(&self) -> Standing {
+        Standing::new(self.me.instance, self.held.keys().copied())
+    }
+
     fn tend(
         &mut self,
         now: Time,
         domain: Domain,
         peers: &Peers,
+        survey: &Survey,
         reached: bool,
         out: &mut Vec<Change>,
     ) {
-        let holders = peers.alive(now).flat_map(|(_, view)| &view.beat.holdings);
-        let fences = holders.filter(|holding| holding.domain == domain);
-        let other = fences.map(|holding| holding.fence).max();
+        let other = survey.fence(domain);
         if let Some(fence) = other {
             self.observe(fence);
         }
@@ -209,7 +230,7 @@
         match (self.held.get(&domain).copied(), other) {
             // Several dispatch, as after a cut: one queue over all workers of a shard serves callers
             // best, and all agree who goes on with it.
-            (Some(_), _) if self.better_holder(now, shard, peers) => self.resign(domain, out),
+            (Some(_), _) if survey.has_senior(shard, &self.standing()) => self.resign(domain, out),
             // The other resigns, but workers may have seen its token.
             (Some(mine), Some(other)) if other > mine => {
                 self.resign(domain, out);
@@ -219,8 +240,9 @@
             (Some(_), _) | (None, Some(_)) => {}
             (None, None) => {
                 let listen = self.listen(now, peers);
-                let settled = now.since(self.listens_from) >= listen;
-                let may = settled && connected(now, peers) && self.is_best(now, shard, peers);
+                let settled = !self.unsettled && now.since(self.listens_from) >= listen;
+                let first = settled && survey.is_first(shard, &self.standing());
+                let may = first && connected(now, peers);
                 if may && self.may_take(now, domain.dc, listen) {
                     self.acquire(domain, out);
                 }
@@ -242,30 +264,6 @@
         out.push(Change::Acquire(domain, fence));
     }
 
-    /// Whether another entry that dispatches for a shard ranks before this one: the one with more
-    /// data centres does, for less work changes hands then.
-    fn better_holder(&self, now: Time, shard: u8, peers: &Peers) -> bool {
-        let held = self.held.keys().copied();
-        let mine = (
-            Reverse(of_shard(shard, held)),
-            rank(shard, self.me.instance),
-        );
-        let mut others = peers.alive(now).filter(|(_, view)| serves(view));
-        others.any(|(id, view)| {
-            let held = of_shard(shard, holdings(view));
-            held > 0 && (Reverse(held), rank(shard, id)) < mine
-        })
-    }
-
-    /// Whether this entry ranks first of those that are heard. Those that dispatch for the shard
-    /// already come before the others, and those that dispatch for other shards after them.
-    fn is_best(&self, now: Time, shard: u8, peers: &Peers) -> bool {
-        let held = self.held.keys().copied();
-        let mine = (standing(shard, held), rank(shard, self.me.instance));
-        let mut others = peers.alive(now).filter(|(_, view)| serves(view));
-        !others.any(|(id, view)| (standing(shard, holdings(view)), rank(shard, id)) < mine)
-    }
-
     /// How long a holder that is alive may be silent to this entry.
     fn listen(&self, now: Time, peers: &Peers) -> Duration {
         if self.undivided && peers.all_new(now) {
@@ -323,10 +321,6 @@
     }
 }
 
-fn serves(view: &PeerView) -> bool {
-    view.beat.part == Part::Entry && view.beat.stage == Stage::Ready
-}
-
 /// Whether any other process is heard, or its machine says that it is down. An entry that is cut off
 /// from all others but reaches the workers would take them from the dispatcher of the others, which
 /// takes them back, in turn; it sends its callers elsewhere instead.
@@ -334,27 +328,3 @@
     let heard = |view: &PeerView| view.alive(now) || view.refused;
     peers.count() == 0 || peers.all().any(|(_, view)| heard(view))
 }
-
-fn holdings(view: &PeerView) -> impl Iterator<Item = Domain> + '_ {
-    view.beat.holdings.iter().map(|holding| holding.domain)
-}
-
-/// How many domains of a shard there are.
-fn of_shard(shard: u8, domains: impl Iterator<Item = Domain>) -> usize {
-    domains.filter(|domain| domain.shard == shard).count()
-}
-
-/// Where a process that holds these domains stands for a shard; less comes first.
-fn standing(shard: u8, domains: impl Iterator<Item = Domain>) -> (bool, usize) {
-    let (mut holds, mut others) = (false, 0);
-    for domain in domains {
-        holds |= domain.shard == shard;
-        others += usize::from(domain.shard != shard);
-    }
-    (!holds, others)
-}
-
-/// A hash, so that no entry comes first for all shards.
-fn rank(shard: u8, instance: InstanceId) -> u64 {
-    score(u64::from(shard), u64::from(instance.0))
-}
--- a/crates/celerywinch_domains/src/lib.rs
+++ b/crates/celerywinch_domains/src/lib.rs
@@ -10,6 +10,8 @@
 
 mod domains;
 mod peers;
+mod survey;
 
 pub use domains::{Change, Domains, Me};
 pub use peers::{PeerView, Peers};
+pub use survey::Circle;
--- a/crates/celerywinch_domains/src/peers.rs
+++ b/crates/celerywinch_domains/src/peers.rs
@@ -12,6 +12,13 @@
 /// of each other.
 const NEW: Time = Time(1_000_000);
 
+/// A process that is heard rarely and was asked for an answer at once counts as lost without one after this
+/// time: two messages between data centres take 3 ms, and a process with an eighth of a core stands still for
+/// tens of ms when much comes at once.
+const PROBE_WAIT: Duration = Duration::from_millis(250);
+/// A process that is waited for no longer than this is heard often.
+const CLOSE_WINDOW: Duration = Duration::from_millis(500);
+
 /// Another process.
 #[derive(Clone, Debug)]
 pub struct PeerView {
@@ -25,13 +32,22 @@
     pub window: Duration,
     /// Its machine said that no process listens there, and nothing was heard since.
     pub refused: bool,
+    /// When it was asked for an answer at once, if nothing was heard since.
+    pub probed: Option<Time>,
 }
 
 impl PeerView {
     /// Whether it was heard lately.
     #[must_use]
     pub fn alive(&self, now: Time) -> bool {
-        !self.refused && now.since(self.heard) <= self.window
+        let silent = |probed: Time| now.since(probed) > PROBE_WAIT;
+        !self.refused && now.since(self.heard) <= self.window && !self.probed.is_some_and(silent)
+    }
+
+    /// Whether its heartbeats come often enough that a silence of a moment tells something.
+    #[must_use]
+    pub fn is_close(&self) -> bool {
+        self.window <= CLOSE_WINDOW
     }
 }
 
@@ -57,6 +73,7 @@
             heard: now,
             window,
             refused: false,
+            probed: None,
         };
         self.views.insert(from.instance, view);
         true
@@ -69,6 +86,13 @@
         }
     }
 
+    /// A peer was asked for an answer at once.
+    pub fn probed(&mut self, now: Time, peer: InstanceId) {
+        if let Some(view) = self.views.get_mut(&peer) {
+            view.probed.get_or_insert(now);
+        }
+    }
+
     /// Drops those that were not heard for long, and names them.
     pub fn forget(&mut self, now: Time) -> Vec<InstanceId> {
         let old = |view: &PeerView| now.since(view.heard) > FORGET;
--- a/crates/celerywinch_domains/tests/holders.rs
+++ b/crates/celerywinch_domains/tests/holders.rs
@@ -36,6 +36,9 @@
         // Of a process that has run for some time.
         sent: Time(5_000_000),
         echo: None,
+        every: 100,
+        wants: true,
+        probe: false,
     }
 }
 
--- a/crates/celerywinch_fleet/src/config.rs
+++ b/crates/celerywinch_fleet/src/config.rs
@@ -7,7 +7,7 @@
 use std::pin::Pin;
 
 use celerywinch_pool::{Answer, Call};
-use celerywinch_types::{DataCentreId, InstanceId, Part, QueueBook};
+use celerywinch_types::{DataCentreId, InstanceId, Part, QueueBook, Without};
 
 /// The checked settings of a process.
 #[derive(Clone, Debug)]
@@ -20,6 +20,8 @@
     pub dc: DataCentreId,
     /// Cores that the process may use, or the fraction of one.
     pub cores: f64,
+    /// Bytes a second that its link carries, if that is known.
+    pub link: Option<f64>,
     /// All data centres.
     pub dcs: BTreeSet<DataCentreId>,
     /// Where it listens for other processes; the port is the same for all.
@@ -32,11 +34,14 @@
     pub tolerated: usize,
     /// The folder for what must last; keepers need one.
     pub folder: Option<PathBuf>,
+    /// Mechanisms of dispatching that are left out.
+    pub without: Without,
 }
 
 /// What the host does for the process.
 pub trait Port: 'static {
-    /// Carries a call to a worker out. The future is dropped when the call's timeout is over.
+    /// Carries a call to a worker out. The future goes on for a while after the call's timeout, to see whether
+    /// the answer is late or never comes, and is dropped then.
     fn call(&self, call: Call) -> Pin<Box<dyn Future<Output = Answer>>>;
 
     /// Reads a configuration document that an operator's request brought.
--- a/crates/celerywinch_fleet/src/core.rs
+++ b/crates/celerywinch_fleet/src/core.rs
@@ -4,7 +4,7 @@
 mod members;
 mod work;
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -40,10 +40,17 @@
 /// A process that was not scheduled for this long may have been taken for lost.
 const PAUSE: Duration = Duration::from_millis(300);
 const WORKERS_PER_CORE: f64 = 320.0;
-/// Fewer workers leave too little choice where to place a wide job.
+/// Bytes a second of a link for each worker: at the users' sites a worker gets four starts a second of 1.4 KB, and eight
+/// looks of 0.4 KB, and half as much again comes in bursts.
+const LINK_PER_WORKER: f64 = 15_000.0;
+/// Fewer workers leave too little choice where to place a wide job, ...
 const LEAST_SHARD: usize = 32;
+/// ... which is better than a link that cannot carry their orders.
+const LEAST_LINK_SHARD: usize = 12;
 /// More are served by several dispatchers also where one could do it: it is lost with all of them.
 const MOST_SHARD: usize = 160;
+/// Between two lines in the log on what was sent.
+const TALLY: Duration = Duration::from_secs(10);
 /// The most messages handled before what they led to is sent.
 const BATCH: usize = 64;
 
@@ -56,6 +63,7 @@
     Submit(CallerId, NewJob, oneshot::Sender<JobEnd>),
     CallerGone(CallerId),
     Answered(CallKey, Answer),
+    AnsweredLate(Duration),
     Announce(WorkerNote, oneshot::Sender<bool>),
     Leave(String, oneshot::Sender<bool>),
     Keep(Option<(u64, Vec<u8>)>, oneshot::Sender<Option<Held>>),
@@ -102,6 +110,10 @@
         learners: usize,
         version: u64,
     },
+    /// Messages to other processes and their bytes so far, by kind.
+    Sent {
+        kinds: BTreeMap<String, (u64, u64)>,
+    },
     Proposed {
         version: u64,
         held: Option<u64>,
@@ -121,11 +133,15 @@
     links: Links,
     member: Member,
     ticked: Time,
+    /// When the log was last told what was sent.
+    tallied: Time,
     /// When seeds that are not heard got the last heartbeat.
     beaten: Time,
     waiting: HashMap<CallerId, oneshot::Sender<JobEnd>>,
     spread: Spread,
     roster: Roster,
+    /// Workers that the entries have to hear of with the next tick.
+    untold: Vec<WorkerNote>,
     store: Option<Sender<StoreIn>>,
     keeping: HashMap<u64, (Option<u64>, oneshot::Sender<Option<Held>>)>,
     next_keep: u64,
@@ -160,8 +176,10 @@
     let listener = TcpListener::bind(config.links)
         .await
         .with_context(|| format!("links: cannot listen at {}", config.links))?;
+    let metrics = Metrics::new().context("metrics: cannot be set up")?;
     let host = LinkHost {
         core: sender.clone(),
+        metrics: metrics.clone(),
     };
     ntex::rt::spawn(celerywinch_links::listen(
         listener,
@@ -173,7 +191,6 @@
         Part::Entry => None,
     };
     let snapshot = Arc::new(Snapshot::default());
-    let metrics = Metrics::new().context("metrics: cannot be set up")?;
     let core = Core::new(Parts {
         config,
         me,
@@ -196,9 +213,11 @@
 
 /// How many workers a dispatcher can take, by the cores that it has: 48 workers with 500 starts a
 /// second took a twentieth of a core, measured on the platform; a process should use a third at most of
-/// what it has for that, as callers' requests come in bursts.
-fn shard(cores: f64) -> usize {
-    ((cores * WORKERS_PER_CORE) as usize).clamp(LEAST_SHARD, MOST_SHARD)
+/// what it has for that, as callers' requests come in bursts. `link` is what its link carries, in bytes a second.
+fn shard(cores: f64, link: Option<f64>) -> usize {
+    let by_cores = ((cores * WORKERS_PER_CORE) as usize).clamp(LEAST_SHARD, MOST_SHARD);
+    let by_link = link.map_or(MOST_SHARD, |link| (link / LINK_PER_WORKER) as usize);
+    by_cores.min(by_link.max(LEAST_LINK_SHARD))
 }
 
 impl Core {
@@ -220,8 +239,11 @@
             part: config.part,
             dc: config.dc,
             dcs: config.dcs.clone(),
-            shard: shard(config.cores),
-            pool: PoolConfig::default(),
+            shard: shard(config.cores, config.link),
+            pool: PoolConfig {
+                without: config.without,
+                ..PoolConfig::default()
+            },
         };
         let mut core = Self {
             member: Member::new(member, now, Clock::wall()),
@@ -230,10 +252,12 @@
             links: Links::new(host, links::config(me)),
             snapshot,
             ticked: now,
+            tallied: now,
             beaten: Time::default(),
             waiting: HashMap::new(),
             spread: Spread::new(me.instance, config.part, config.dc),
             roster: Roster::default(),
+            untold: Vec::new(),
             keeping: HashMap::new(),
             next_keep: rand::random::<u32>().into(),
             contacts: BTreeSet::new(),
@@ -312,8 +336,14 @@
         self.spread(now, SpreadInput::Tick);
         self.beat_seeds(now);
         self.roster.forget(now);
+        self.tell_workers(now);
         self.save_workers(now);
         self.measure(now);
+        if now.since(self.tallied) >= TALLY {
+            self.tallied = now;
+            let kinds = self.metrics.sent();
+            self.note(&CoreNote::Sent { kinds });
+        }
     }
 
     fn take(&mut self, msg: CoreMsg) {
@@ -333,6 +363,10 @@
             CoreMsg::Answered(key, answer) => {
                 self.input(now, Input::Answered(key, answer));
             }
+            CoreMsg::AnsweredLate(took) => {
+                self.metrics.late_answers.inc();
+                self.input(now, Input::AnsweredLate(took));
+            }
             CoreMsg::Announce(note, answer) => {
                 let _ = answer.send(self.announced(now, note));
             }
--- a/crates/celerywinch_fleet/src/core/keeping.rs
+++ b/crates/celerywinch_fleet/src/core/keeping.rs
@@ -110,9 +110,10 @@
         let known = self.roster.len();
         let (worker, stage, sequence) = (note.id.clone(), note.stage, note.sequence);
         if self.roster.heard(now, note.clone()) {
-            for entry in &entries {
-                self.links
-                    .send(*entry, FleetMsg::Workers(vec![note.clone()]));
+            self.untold.push(note);
+            // One that leaves is acknowledged with this, and its dispatcher has to know.
+            if stage != WorkerStage::Ready {
+                self.tell_workers(now);
             }
             self.note(&CoreNote::Announced {
                 worker,
@@ -125,6 +126,18 @@
         stage == WorkerStage::Ready || !entries.is_empty()
     }
 
+    /// Tells the entries of the workers that have come or changed since the last time. With one message for each, 1,100
+    /// workers that start together were 160,000 messages to 147 entries.
+    pub(super) fn tell_workers(&mut self, now: Time) {
+        if self.untold.is_empty() {
+            return;
+        }
+        let notes = std::mem::take(&mut self.untold);
+        for entry in self.entries(now) {
+            self.links.send(entry, FleetMsg::Workers(notes.clone()));
+        }
+    }
+
     /// Has the workers written to the disk, if that is due.
     pub(super) fn save_workers(&mut self, now: Time) {
         if self.store.is_some()
@@ -136,10 +149,8 @@
 
     pub(super) fn worker_left(&mut self, now: Time, worker: &str) -> bool {
         if let Some(note) = self.roster.left(now, worker) {
-            for entry in self.entries(now) {
-                self.links
-                    .send(entry, FleetMsg::Workers(vec![note.clone()]));
-            }
+            self.untold.push(note);
+            self.tell_workers(now);
         }
         true
     }
--- a/crates/celerywinch_fleet/src/core/work.rs
+++ b/crates/celerywinch_fleet/src/core/work.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use celerywinch_member::{Input, Output};
 use celerywinch_pool::{Answer, Call};
@@ -18,6 +18,10 @@
 /// one answer in forty was taken for missing.
 const UNREAD: Duration = Duration::from_millis(20);
 
+/// How much longer an answer is listened for that is not waited for any more. It shows that the path is slow, and not
+/// that answers are lost: later ones are waited for longer.
+const LATE: Duration = Duration::from_millis(600);
+
 fn kind(routine: bool) -> Kind {
     if routine {
         Kind::Routine
@@ -82,17 +86,28 @@
         let core = self.sender.clone();
         let key = call.key;
         let limit = call.timeout;
+        let waits = call.order.waits();
+        self.metrics.calls(&call.order);
         let answer = self.port.call(call);
         ntex::rt::spawn(async move {
+            let began = Instant::now();
             let mut answer = answer;
             let mut got = tokio::time::timeout(limit, &mut answer).await;
             if got.is_err() {
                 // The process may have stood still itself, with the answer waiting to be read.
                 got = tokio::time::timeout(UNREAD, &mut answer).await;
             }
-            let answer = got.unwrap_or(Answer::Silent);
+            let silent = got.is_err();
+            let answer_in_time = got.unwrap_or(Answer::Silent);
             // The core ends before its calls only when the process does.
-            let _ = core.send(CoreMsg::Answered(key, answer));
+            let _ = core.send(CoreMsg::Answered(key, answer_in_time));
+            if silent
+                && let Ok(late) = tokio::time::timeout(LATE, &mut answer).await
+                && late != Answer::Silent
+            {
+                let took = began.elapsed().saturating_sub(waits);
+                let _ = core.send(CoreMsg::AnsweredLate(took));
+            }
         });
     }
 
--- a/crates/celerywinch_fleet/src/links.rs
+++ b/crates/celerywinch_fleet/src/links.rs
@@ -5,6 +5,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 
 use crate::core::CoreMsg;
+use crate::metrics::Metrics;
 
 /// Flow-control window of a stream and a connection, in bytes. Two of the largest configurations
 /// fit; a process has a few hundred MB for all its links.
@@ -21,6 +22,7 @@
 #[derive(Clone)]
 pub(crate) struct LinkHost {
     pub(crate) core: UnboundedSender<CoreMsg>,
+    pub(crate) metrics: Metrics,
 }
 
 /// The configuration of the links of a process.
@@ -55,5 +57,7 @@
 
     fn observe(&self, _stamp: u64) {}
 
-    fn sent(&self, _bytes: usize) {}
+    fn sent(&self, msg: &FleetMsg, bytes: usize) {
+        self.metrics.sends(msg, bytes);
+    }
 }
--- a/crates/celerywinch_fleet/src/metrics.rs
+++ b/crates/celerywinch_fleet/src/metrics.rs
@@ -1,11 +1,12 @@
 //! Figures of a process, as text for whoever collects them.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use celerywinch_metrics::Meter;
 use celerywinch_origin::JobNote;
-use celerywinch_pool::Note;
-use celerywinch_types::{JobEnd, SpreadMsg};
+use celerywinch_pool::{Note, Order};
+use celerywinch_types::{FleetMsg, JobEnd, SpreadMsg};
 use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
 
 use crate::spread::SpreadNote;
@@ -16,6 +17,18 @@
 /// Bounds of the time to a configuration, in seconds: it should be in force everywhere within 2 s.
 const DOCUMENT_SECONDS: &[f64] = &[0.01, 0.03, 0.1, 0.2, 0.5, 1.0, 1.5, 2.0, 4.0];
 
+/// Kinds of messages to other processes.
+const KINDS: [&str; 8] = [
+    "heartbeat",
+    "contacts",
+    "log",
+    "keep",
+    "workers",
+    "configuration",
+    "work",
+    "learned",
+];
+
 /// Counters, gauges and histograms; every clone counts into the same ones.
 #[derive(Clone, Debug)]
 pub(crate) struct Metrics {
@@ -28,6 +41,10 @@
     aside: IntCounter,
     gone: IntCounterVec,
     changes: IntCounter,
+    messages: IntCounterVec,
+    message_bytes: IntCounterVec,
+    worker_calls: IntCounterVec,
+    pub(crate) late_answers: IntCounter,
     documents: IntCounter,
     document_bytes: IntCounter,
     document_seconds: Histogram,
@@ -57,6 +74,21 @@
                 "why",
             )?,
             changes: meter.counter("changes_total", "Domains acquired or resigned here.")?,
+            messages: meter.family(
+                "messages_total",
+                "Messages sent to other processes, by kind.",
+                "kind",
+            )?,
+            message_bytes: meter.family("message_bytes_total", "Bytes of them.", "kind")?,
+            worker_calls: meter.family(
+                "worker_calls_total",
+                "Calls to workers, by kind.",
+                "kind",
+            )?,
+            late_answers: meter.counter(
+                "late_answers_total",
+                "Answers of workers that came after they were waited for.",
+            )?,
             documents: meter.counter(
                 "documents_total",
                 "Copies of the configuration begun to be sent.",
@@ -108,6 +140,43 @@
         }
     }
 
+    /// A message is sent to another process.
+    pub(crate) fn sends(&self, msg: &FleetMsg, bytes: usize) {
+        let kind = match msg {
+            FleetMsg::Beat(_) => KINDS[0],
+            FleetMsg::Contacts(_) => KINDS[1],
+            FleetMsg::Log(_) => KINDS[2],
+            FleetMsg::Keep(_) => KINDS[3],
+            FleetMsg::Workers(_) => KINDS[4],
+            FleetMsg::Spread(_) => KINDS[5],
+            FleetMsg::Work(_) => KINDS[6],
+            FleetMsg::Learned(_) => KINDS[7],
+        };
+        self.messages.with_label_values(&[kind]).inc();
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        self.message_bytes.with_label_values(&[kind]).inc_by(bytes);
+    }
+
+    /// Messages to other processes and their bytes so far, by kind.
+    pub(crate) fn sent(&self) -> BTreeMap<String, (u64, u64)> {
+        let kinds = KINDS.iter().map(|kind| {
+            let count = self.messages.with_label_values(&[*kind]).get();
+            let bytes = self.message_bytes.with_label_values(&[*kind]).get();
+            ((*kind).to_owned(), (count, bytes))
+        });
+        kinds.filter(|(_, (count, _))| *count > 0).collect()
+    }
+
+    /// A worker is called.
+    pub(crate) fn calls(&self, order: &Order) {
+        let kind = match order {
+            Order::Start { .. } => "start",
+            Order::Stop { .. } => "stop",
+            Order::Look { .. } => "look",
+        };
+        self.worker_calls.with_label_values(&[kind]).inc();
+    }
+
     /// A message of the configuration is sent.
     pub(crate) fn spreads(&self, msg: &SpreadMsg) {
         if let SpreadMsg::Piece(piece) = msg {
--- a/crates/celerywinch_links/src/lib.rs
+++ b/crates/celerywinch_links/src/lib.rs
@@ -73,7 +73,7 @@
     fn observe(&self, stamp: u64);
 
     /// A message of so many bytes was sent.
-    fn sent(&self, bytes: usize);
+    fn sent(&self, msg: &M, bytes: usize);
 }
 
 /// What all links of a process share.
@@ -94,15 +94,21 @@
     Probe,
 }
 
-/// How many streams a process has opened, or tried to. One count for all links: that of a link which was
-/// closed and is opened again must not begin anew, or its peer would take its streams for earlier ones.
-type StreamCount = Rc<Cell<u64>>;
+/// What all links of a process count.
+#[derive(Debug, Default)]
+struct Counts {
+    /// How many streams were opened, or tried. One count for all links: that of a link which was closed and
+    /// is opened again must not begin anew, or its peer would take its streams for earlier ones.
+    streams: Cell<u64>,
+    /// How many links there are.
+    links: Cell<u32>,
+}
 
 /// The links of a process.
 pub struct Links<M, H> {
     host: H,
     config: LinkConfig,
-    streams: StreamCount,
+    counts: Rc<Counts>,
     links: BTreeMap<InstanceId, UnboundedSender<LinkMsg<M>>>,
 }
 
@@ -112,7 +118,7 @@
         Self {
             host,
             config,
-            streams: StreamCount::default(),
+            counts: Rc::default(),
             links: BTreeMap::new(),
         }
     }
@@ -127,17 +133,24 @@
         let link = outgoing::Link::new(
             self.host.clone(),
             self.config.clone(),
-            self.streams.clone(),
+            self.counts.clone(),
             peer,
             addr,
         );
         ntex::rt::spawn(link.run(receiver));
         self.links.insert(peer, sender);
+        self.count();
     }
 
     /// Closes a link.
     pub fn close(&mut self, peer: InstanceId) {
         self.links.remove(&peer);
+        self.count();
+    }
+
+    fn count(&self) {
+        let links = u32::try_from(self.links.len()).unwrap_or(u32::MAX);
+        self.counts.links.set(links);
     }
 
     /// Whether there is a link, open or not.
--- a/crates/celerywinch_links/src/outgoing.rs
+++ b/crates/celerywinch_links/src/outgoing.rs
@@ -3,6 +3,7 @@
 use std::io::ErrorKind;
 use std::marker::PhantomData;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, bail};
@@ -12,12 +13,13 @@
 use h2::{Ping, PingPong, SendStream};
 use http::{Method, Request};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::{sleep, timeout};
 
 use crate::{
-    Host, INCARNATION_HEADER, INSTANCE_HEADER, LinkConfig, LinkEvent, LinkMsg, Message,
-    SECRET_HEADER, STREAM_HEADER, StreamCount, frame,
+    Counts, Host, INCARNATION_HEADER, INSTANCE_HEADER, LinkConfig, LinkEvent, LinkMsg, Message,
+    SECRET_HEADER, STREAM_HEADER, frame,
 };
 
 /// How long opening a connection may take. A machine without power, or behind a cut, answers nothing, and
@@ -27,8 +29,11 @@
 const CONNECT: Duration = Duration::from_millis(300);
 /// Between two attempts.
 const PAUSE: Duration = Duration::from_millis(100);
-/// Between two pings.
+/// Between two pings on a link in use, at least, ...
 const PING_EVERY: Duration = Duration::from_millis(300);
+/// ... and so much for each link of the process: with 150 links and a third of them in use, 70 pings a second and their
+/// answers, a tenth of its heartbeats.
+const PING_SHARE: Duration = Duration::from_millis(5);
 /// A connection whose ping is not answered for this long is replaced.
 const PING_TIMEOUT: Duration = Duration::from_millis(700);
 /// The most messages in one piece.
@@ -40,7 +45,7 @@
     config: LinkConfig,
     peer: InstanceId,
     addr: SocketAddr,
-    streams: StreamCount,
+    counts: Rc<Counts>,
     messages: PhantomData<M>,
 }
 
@@ -48,13 +53,15 @@
 struct Open {
     stream: SendStream<bytes::Bytes>,
     broken: UnboundedReceiver<()>,
+    /// Told of each piece that is sent.
+    used: Rc<Notify>,
 }
 
 impl<M: Message, H: Host<M>> Link<M, H> {
     pub(super) fn new(
         host: H,
         config: LinkConfig,
-        streams: StreamCount,
+        counts: Rc<Counts>,
         peer: InstanceId,
         addr: SocketAddr,
     ) -> Self {
@@ -63,7 +70,7 @@
             config,
             peer,
             addr,
-            streams,
+            counts,
             messages: PhantomData,
         }
     }
@@ -138,8 +145,14 @@
         // The handshake alone proves nothing: a relay may accept for a process that is frozen.
         let mut ping = ping;
         ping.ping(Ping::opaque()).await?;
-        ntex::rt::spawn(watch(ping, broken_tx));
-        Ok(Open { stream, broken })
+        let used = Rc::new(Notify::new());
+        let links = self.counts.links.get();
+        ntex::rt::spawn(watch(ping, links, used.clone(), broken_tx));
+        Ok(Open {
+            stream,
+            broken,
+            used,
+        })
     }
 
     async fn request(
@@ -147,8 +160,8 @@
         mut sender: SendRequest<bytes::Bytes>,
     ) -> anyhow::Result<SendStream<bytes::Bytes>> {
         let me = self.config.me;
-        let stream = self.streams.get() + 1;
-        self.streams.set(stream);
+        let stream = self.counts.streams.get() + 1;
+        self.counts.streams.set(stream);
         let request = Request::builder()
             .method(Method::POST)
             .uri(format!("http://{}/peer", self.addr))
@@ -203,7 +216,7 @@
             LinkMsg::Send(msg) => {
                 let before = buffer.len();
                 frame::encode(buffer, self.host.stamp(), &msg)?;
-                self.host.sent(buffer.len() - before);
+                self.host.sent(&msg, buffer.len() - before);
                 Ok(false)
             }
         }
@@ -214,6 +227,7 @@
             return Ok(());
         }
         let data = buffer.split().freeze();
+        open.used.notify_one();
         open.stream
             .send_data(data, false)
             .context("link: cannot send")
@@ -245,10 +259,14 @@
 }
 
 /// Pings until no answer comes. The kernel may take minutes to report a connection that something
-/// between the two ends has lost track of; until then all that is sent on it disappears.
-async fn watch(mut ping: PingPong, broken: UnboundedSender<()>) {
+/// between the two ends has lost track of; until then all that is sent on it disappears. Where nothing was sent
+/// since the last ping nothing can have: of 151 links of a process a tenth are in constant use, and pings on the
+/// others would be 500 a second, and as many answers.
+async fn watch(mut ping: PingPong, links: u32, used: Rc<Notify>, broken: UnboundedSender<()>) {
+    let every = PING_EVERY.max(PING_SHARE * links);
     loop {
-        sleep(PING_EVERY).await;
+        used.notified().await;
+        sleep(every).await;
         match timeout(PING_TIMEOUT, ping.ping(Ping::opaque())).await {
             Ok(Ok(_)) if !broken.is_closed() => {}
             _ => {
--- a/crates/celerywinch_member/src/beats.rs
+++ b/crates/celerywinch_member/src/beats.rs
@@ -1,28 +1,33 @@
-//! Heartbeats, and what they tell of dispatchers.
+//! Heartbeats: what they tell of dispatchers, and who gets them how often.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use celerywinch_domains::PeerView;
 use celerywinch_origin::{Holder, Input as OriginInput};
 use celerywinch_pool::{Grant, Input as PoolInput};
 use celerywinch_types::{
-    Beat, Domain, Echo, Fence, FleetMsg, Holding, InstanceId, Part, Process, Time,
+    Beat, DataCentreId, Domain, Echo, Fence, FleetMsg, Holding, InstanceId, Mechanism, Part,
+    Process, Time, score,
 };
 
 use crate::member::{Member, Output};
 
-/// Between two heartbeats.
+/// Between two heartbeats to a process that needs them often.
 const BEAT: Duration = Duration::from_millis(100);
-/// Between two heartbeats of a process that dispatches: the others choose by the room it tells of.
+/// Between two heartbeats of a process that dispatches, among few: the others choose by the room it tells of.
 const HOLDER_BEAT: Duration = Duration::from_millis(50);
-/// Up to so many processes all hear each other that often. With more, those of which neither
-/// dispatches do so less often: 40 processes would spend a fifth of a small machine on heartbeats.
+/// Up to so many processes all hear each other that often. With more, only those that work with each other do, or
+/// the cost for each would rise with their number: of 152 processes with 0.12 of a core each, 32 of which
+/// dispatched, each spent more than it had on 90,000 heartbeats a second, and nothing was served in time.
 const FEW: usize = 16;
+/// Between two heartbeats to any other process, at least, ...
 const SLOW_BEAT: Duration = Duration::from_millis(500);
-/// A process that was not heard for this long counts as lost. Three heartbeats and a half: one may
-/// be late and one lost with its connection.
+/// ... and so many heartbeats a second to all of those at most: 0.1% of a core, whatever their number. What has to be
+/// known at once is told to all when it changes.
+const SLOW_RATE: u32 = 20;
+/// A process is waited for as long as three heartbeats and a half: one may be late and one lost with its connection.
 const ALIVE: Duration = Duration::from_millis(350);
-const SLOW_ALIVE: Duration = Duration::from_millis(1_750);
 /// A dispatcher may start tasks of an origin for this long after it sent what the origin has heard of it. The
 /// origin takes it for lost `ALIVE` after that at the earliest, or at once where connections are refused. Then
 /// 1,450 ms pass before the tasks are started elsewhere, of which the longest lease and its errors
@@ -32,8 +37,29 @@
 const GRANT: Duration = Duration::from_millis(500);
 /// Between two messages to one entry with what a dispatcher has learned; it changes by a few percent meanwhile.
 const TEACH: Duration = Duration::from_secs(1);
-/// At most one entry in so many is told at once, also after a pause; ticks are 10 to 40 ms apart.
-const TEACH_PARTS: usize = 20;
+/// An origin hands its jobs to so many dispatchers, if there are more. Each hears from it ten times a second, so that
+/// with all of them the heartbeats rise with the square of the size. With six there is nearly always one
+/// with room: two are drawn for a job, and up to four are tried.
+const DISPATCHERS: usize = 6;
+/// All that is heard often of a data centre is silent for so long: two heartbeats are missing.
+const SUSPECT: Duration = Duration::from_millis(200);
+/// Of a process that is silent for longer, silence tells nothing new; and between two rounds of probes.
+const SUSPECT_FOR: Duration = Duration::from_secs(1);
+
+/// Whom this process hears often, and who hears it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Close {
+    /// Dispatchers that its callers' jobs go to. Only these have grants to start them.
+    dispatchers: BTreeSet<InstanceId>,
+    /// Those that it would stand in for.
+    pub(crate) ahead: BTreeSet<InstanceId>,
+    /// Those that would stand in for it.
+    pub(crate) successors: BTreeSet<InstanceId>,
+    /// Those that were told to expect frequent heartbeats.
+    promised: BTreeSet<InstanceId>,
+    /// When each data centre was probed.
+    probes: BTreeMap<DataCentreId, Time>,
+}
 
 impl Member {
     /// Who dispatches for what, by the highest fencing token that is heard.
@@ -41,6 +67,7 @@
         if self.config.part != Part::Entry {
             return;
         }
+        self.stale = false;
         let mut best: BTreeMap<Domain, (InstanceId, Holding)> = BTreeMap::new();
         let mut add = |instance: InstanceId, holding: Holding| {
             let known = best.get(&holding.domain);
@@ -56,17 +83,59 @@
                 add(instance, *holding);
             }
         }
+        let all: BTreeSet<_> = best.values().map(|(instance, _)| *instance).collect();
+        self.choose_dispatchers(now, &all, out);
         let holders = best
             .into_iter()
             .map(|(domain, (instance, holding))| Holder {
                 domain,
                 instance,
                 load: holding.load,
+                close: self.hands_to(instance),
             });
         let input = OriginInput::Holders(holders.collect());
         self.origin_input(now, input, out);
     }
 
+    /// The dispatchers that callers' jobs go to: a few by a hash, so that each has its share of the origins, its own,
+    /// and those that have work of these callers.
+    fn choose_dispatchers(&mut self, now: Time, all: &BTreeSet<InstanceId>, out: &mut Vec<Output>) {
+        let me = self.config.me.instance;
+        let mut ranked: Vec<_> = all.iter().copied().collect();
+        ranked.sort_by_key(|holder| score(u64::from(me.0), u64::from(holder.0)));
+        ranked.truncate(DISPATCHERS);
+        let mut chosen: BTreeSet<_> = ranked.into_iter().collect();
+        chosen.extend(all.get(&me));
+        chosen.extend(self.origin.dispatchers());
+        let new: Vec<_> = chosen
+            .difference(&self.close.dispatchers)
+            .copied()
+            .collect();
+        self.close.dispatchers = chosen;
+        for dispatcher in new {
+            self.greet(now, dispatcher, out);
+        }
+    }
+
+    /// Makes sure that a dispatcher hears often of this origin before it gets work: it starts it only then.
+    pub(crate) fn hand_to(&mut self, now: Time, dispatcher: InstanceId, out: &mut Vec<Output>) {
+        if self.close.dispatchers.insert(dispatcher) {
+            self.greet(now, dispatcher, out);
+        }
+    }
+
+    fn greet(&mut self, now: Time, dispatcher: InstanceId, out: &mut Vec<Output>) {
+        let known = dispatcher != self.config.me.instance && self.peers.get(dispatcher).is_some();
+        if known && !self.few() {
+            self.send_beat(now, dispatcher, out);
+        }
+    }
+
+    /// Whether callers' jobs go to a dispatcher.
+    fn hands_to(&self, dispatcher: InstanceId) -> bool {
+        self.few() || self.close.dispatchers.contains(&dispatcher)
+    }
+
     /// Measures the room of what it dispatches for; once a tick, for it takes a look at each worker.
     pub(crate) fn measure(&mut self, now: Time) {
         let held = self.domains.held().iter();
@@ -78,15 +147,34 @@
         self.holdings = held.map(holding).collect();
     }
 
+    /// The room of a dispatcher that goes on with what it has.
+    pub(crate) fn update_loads(
+        &mut self,
+        now: Time,
+        dispatcher: InstanceId,
+        holdings: Vec<Holding>,
+        out: &mut Vec<Output>,
+    ) {
+        if self.config.part == Part::Entry && !holdings.is_empty() {
+            let input = OriginInput::Loads(dispatcher, holdings);
+            self.origin_input(now, input, out);
+        }
+    }
+
     /// What this process tells another one of itself.
     #[must_use]
     pub fn beat_for(&self, now: Time, peer: InstanceId) -> Beat {
         let view = self.peers.get(peer).filter(|view| view.alive(now));
-        let echo = view.map(|view| Echo {
+        let echo = view.filter(|_| self.hands_to(peer)).map(|view| Echo {
             life: view.process.incarnation,
             sent: view.beat.sent,
             session: self.origin.session(peer),
         });
+        let every = if self.few() || self.close.promised.contains(&peer) {
+            BEAT
+        } else {
+            self.slow_beat()
+        };
         Beat {
             part: self.config.part,
             dc: self.config.dc,
@@ -97,6 +185,9 @@
             shards: self.domains.shards(),
             sent: now,
             echo,
+            every: every.as_millis() as u32,
+            wants: self.wants(peer),
+            probe: false,
         }
     }
 
@@ -121,78 +212,138 @@
     }
 
     /// How long the next heartbeat of a process is waited for.
-    pub(crate) fn window(&self, beat: &Beat) -> Duration {
-        if self.is_close(beat) {
-            ALIVE
-        } else {
-            SLOW_ALIVE
-        }
+    pub(crate) fn window(beat: &Beat) -> Duration {
+        let every = Duration::from_millis(beat.every.into());
+        ALIVE.max(every.mul_f64(ALIVE.div_duration_f64(BEAT)))
     }
 
-    /// Whether this process and another hear each other often: work goes between them, or they are
-    /// few.
-    fn is_close(&self, beat: &Beat) -> bool {
-        let dispatch = !beat.holdings.is_empty() || !self.domains.held().is_empty();
-        dispatch || self.peers.count() <= FEW
+    /// Whether all processes hear each other often.
+    fn few(&self) -> bool {
+        self.peers.count() <= FEW
+    }
+
+    /// Whether a process has to be heard often.
+    fn wants(&self, peer: InstanceId) -> bool {
+        self.few() || self.close.dispatchers.contains(&peer) || self.close.ahead.contains(&peer)
+    }
+
+    /// Whether a process gets frequent heartbeats: for the grants of what is handed to it, or since it asks.
+    fn is_close(&self, now: Time, peer: InstanceId, view: &PeerView) -> bool {
+        self.hands_to(peer) || (view.beat.wants && view.alive(now))
+    }
+
+    /// Between two heartbeats to a process that is not close.
+    fn slow_beat(&self) -> Duration {
+        let peers = u32::try_from(self.peers.count()).unwrap_or(u32::MAX);
+        SLOW_BEAT.max(Duration::from_secs(peers.into()) / SLOW_RATE)
     }
 
     pub(crate) fn beat_if_due(&mut self, now: Time, out: &mut Vec<Output>) {
-        let few = self.peers.count() <= FEW;
-        let often = few && !self.domains.held().is_empty();
+        let often = self.few() && !self.domains.held().is_empty();
         let interval = if often { HOLDER_BEAT } else { BEAT };
-        if now.since(self.beaten) < interval {
-            return;
+        if now.since(self.beaten) >= interval {
+            self.beaten = now;
+            self.beat_close(now, out);
         }
-        self.beaten = now;
-        let slow = now.since(self.beaten_all) >= SLOW_BEAT;
-        if slow {
-            self.beaten_all = now;
+        let promised = &self.close.promised;
+        let others = self.peers.all().map(|(peer, _)| peer);
+        let others = others.filter(|peer| !promised.contains(peer)).collect();
+        let span = self.slow_beat();
+        for peer in self.slow_round.due(now, span, others) {
+            self.send_beat(now, peer, out);
         }
-        for (peer, view) in self.peers.all() {
-            if slow || self.is_close(&view.beat) {
-                self.send_beat(now, peer, out);
-            }
+    }
+
+    /// Those that were close until now are told that heartbeats become rare, or they would miss them.
+    fn beat_close(&mut self, now: Time, out: &mut Vec<Output>) {
+        let close = |(peer, view): &(InstanceId, &PeerView)| self.is_close(now, *peer, view);
+        let peers = self.peers.all().filter(close).map(|(peer, _)| peer);
+        let due: BTreeSet<_> = peers.chain(self.close.promised.iter().copied()).collect();
+        for peer in due {
+            self.send_beat(now, peer, out);
         }
     }
 
     /// Tells all at once what has changed.
     pub(crate) fn send_beats(&mut self, now: Time, out: &mut Vec<Output>) {
         self.beaten = now;
-        self.beaten_all = now;
-        for (peer, _) in self.peers.all() {
+        let peers: Vec<_> = self.peers.all().map(|(peer, _)| peer).collect();
+        for peer in peers {
             self.send_beat(now, peer, out);
         }
     }
 
-    pub(crate) fn send_beat(&self, now: Time, to: InstanceId, out: &mut Vec<Output>) {
+    pub(crate) fn send_beat(&mut self, now: Time, to: InstanceId, out: &mut Vec<Output>) {
+        self.promise(now, to);
         let beat = self.beat_for(now, to);
         out.push(Output::Send(to, FleetMsg::Beat(beat)));
     }
 
-    /// Tells the other entries what a successor needs to know, one after the other. All at once would be 200 KB with 27
-    /// of them and 350 workers: 70 ms of a link of 25 Mbit/s, in front of heartbeats and of orders to workers, whose
-    /// answers would be taken for missing.
+    fn promise(&mut self, now: Time, to: InstanceId) {
+        let view = self.peers.get(to);
+        if view.is_some_and(|view| self.is_close(now, to, view)) {
+            self.close.promised.insert(to);
+        } else {
+            self.close.promised.remove(&to);
+        }
+    }
+
+    /// Asks for a sign of life of all in a data centre, if what is close there has fallen silent.
+    ///
+    /// Processes that hear each other rarely would notice a cut only after seconds: a cut-off entry would go on to
+    /// count on dispatchers, and wait for better placed entries, that are out of reach. A cut of a data
+    /// centre shows at those that are close, of which there are nearly always some. A probe and its
+    /// answer cost one message each; in steady service there are none.
+    pub(crate) fn probe_silent(&mut self, now: Time, out: &mut Vec<Output>) {
+        if self.few() {
+            return;
+        }
+        let mut silent: BTreeMap<DataCentreId, bool> = BTreeMap::new();
+        for (_, view) in self.peers.all() {
+            let quiet = now.since(view.heard);
+            if view.is_close() && !view.refused && quiet < SUSPECT_FOR {
+                let all = silent.entry(view.beat.dc).or_insert(true);
+                *all &= quiet >= SUSPECT;
+            }
+        }
+        for (dc, _) in silent.into_iter().filter(|(_, all)| *all) {
+            let last = self.close.probes.get(&dc);
+            if last.is_none_or(|last| now.since(*last) >= SUSPECT_FOR) {
+                self.close.probes.insert(dc, now);
+                self.probe(now, dc, out);
+            }
+        }
+    }
+
+    fn probe(&mut self, now: Time, dc: DataCentreId, out: &mut Vec<Output>) {
+        let alive = self.peers.alive(now);
+        let there = alive.filter(|(_, view)| view.beat.dc == dc && !view.is_close());
+        let peers: Vec<_> = there.map(|(peer, _)| peer).collect();
+        for peer in peers {
+            self.peers.probed(now, peer);
+            let mut beat = self.beat_for(now, peer);
+            beat.probe = true;
+            out.push(Output::Send(peer, FleetMsg::Beat(beat)));
+        }
+    }
+
+    /// Tells the entries that would dispatch next what a successor needs to know, one after the other.
     pub(crate) fn spread_learned(&mut self, now: Time, out: &mut Vec<Output>) {
-        if self.domains.held().is_empty() {
-            self.taught.0 = now;
+        let silent = self.config.pool.without.lacks(Mechanism::Teaching);
+        if self.domains.held().is_empty() || silent {
+            self.teach_round.restart(now);
             return;
         }
         let alive = self.peers.alive(now);
-        let entries = alive.filter(|(_, view)| view.beat.part == Part::Entry);
-        let mut entries: Vec<_> = entries.map(|(entry, _)| entry).collect();
-        let (at, last) = self.taught;
-        let due = now.since(at).as_micros() * entries.len() as u128 / TEACH.as_micros();
-        let most = entries.len().div_ceil(TEACH_PARTS);
-        let due = usize::try_from(due).unwrap_or(most).min(most);
-        if due == 0 {
+        let next = |peer: InstanceId| self.few() || self.close.successors.contains(&peer);
+        let entries = alive.filter(|(peer, view)| view.beat.part == Part::Entry && next(*peer));
+        let entries = entries.map(|(entry, _)| entry).collect();
+        let due = self.teach_round.due(now, TEACH, entries);
+        if due.is_empty() {
             return;
         }
-        let next = entries.partition_point(|entry| *entry <= last);
-        entries.rotate_left(next);
-        entries.truncate(due);
         let learned = self.pool.learned();
-        for entry in entries {
-            self.taught = (now, entry);
+        for entry in due {
             out.push(Output::Send(entry, FleetMsg::Learned(learned.clone())));
         }
     }
--- a/crates/celerywinch_member/src/lib.rs
+++ b/crates/celerywinch_member/src/lib.rs
@@ -9,6 +9,7 @@
 mod beats;
 mod member;
 mod note;
+mod round;
 
 pub use member::{Input, Member, MemberConfig, Output};
 pub use note::MemberNote;
--- a/crates/celerywinch_member/src/member.rs
+++ b/crates/celerywinch_member/src/member.rs
@@ -3,15 +3,17 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
-use celerywinch_domains::{Change, Domains, Me, Peers};
+use celerywinch_domains::{Change, Domains, Me, PeerView, Peers};
 use celerywinch_origin::{CallerId, Input as OriginInput, JobNote, NewJob, Origin};
 use celerywinch_pool::{Answer, Call, CallKey, Grant, Input as PoolInput, Note, Pool, PoolConfig};
 use celerywinch_types::{
-    Beat, DataCentreId, FleetMsg, Holding, InstanceId, JobEnd, Learned, Part, Process, Stage, Time,
-    WallMs, WorkMsg, WorkerNote,
+    Beat, DataCentreId, FleetMsg, Holding, InstanceId, JobEnd, Learned, Mechanism, Part, Process,
+    Stage, Time, WallMs, WorkMsg, WorkerNote,
 };
 
 use crate::MemberNote;
+use crate::beats::Close;
+use crate::round::Round;
 
 /// An entry is ready this long after its start at the earliest: heartbeats of all that are there
 /// have come by then.
@@ -23,6 +25,15 @@
 /// A data centre is reached if one of its workers answered within this time.
 const WORKERS_HEARD: Duration = Duration::from_secs(1);
 
+/// No worker more was heard of for so long: 1,100 of them come 1.4 ms apart as they start, and the last gaps are longer.
+const SETTLED: Duration = Duration::from_millis(120);
+/// Workers are divided after so long all the same: they announce themselves every 1.5 s.
+const UNSETTLED: Duration = Duration::from_secs(2);
+/// Between two times that it is found out who stands ready for whom.
+const CIRCLE: Duration = Duration::from_millis(250);
+/// Heartbeats that are waited for no longer than this come often.
+const CLOSE: Duration = Duration::from_millis(350);
+
 /// The most shards.
 const MOST_SHARDS: u8 = 64;
 
@@ -64,6 +75,8 @@
     CallerGone(CallerId),
     /// What came of a call to a worker.
     Answered(CallKey, Answer),
+    /// A worker's answer came after its time, as the dispatcher is told.
+    AnsweredLate(Duration),
     /// This version of the configuration is in force here.
     Version(u64),
     /// A planned stop begins.
@@ -106,17 +119,27 @@
     pub(crate) config: MemberConfig,
     pub(crate) peers: Peers,
     alive: BTreeSet<InstanceId>,
+    /// Those that were heard once and are not now.
+    lost: BTreeSet<InstanceId>,
     pub(crate) domains: Domains,
     pub(crate) pool: Pool,
     pub(crate) origin: Origin,
     pub(crate) stage: Stage,
     pub(crate) version: u64,
     started: Time,
+    /// When those that need it often got the last heartbeat.
     pub(crate) beaten: Time,
-    /// When all others got the last heartbeat, and not only those that need it often.
-    pub(crate) beaten_all: Time,
-    /// When an entry was last told what was learned, and which.
-    pub(crate) taught: (Time, InstanceId),
+    /// The round of heartbeats to the others.
+    pub(crate) slow_round: Round,
+    /// The round of telling what was learned.
+    pub(crate) teach_round: Round,
+    pub(crate) close: Close,
+    /// Whether others dispatch than the origin was told last.
+    pub(crate) stale: bool,
+    /// How many workers are known though they are more than the shards can take; since when, and since when just so many.
+    uneven: Option<(usize, Time, Time)>,
+    /// When it was last found out who stands ready for whom.
+    circled: Time,
     /// When it was last compared who dispatches.
     compared: Time,
     /// What it dispatches for, with the room at the last tick.
@@ -143,15 +166,20 @@
         Self {
             peers: Peers::default(),
             alive: BTreeSet::new(),
+            lost: BTreeSet::new(),
             domains: Domains::new(now, wall, me, config.dcs.clone()),
             pool,
-            origin: Origin::new(config.dc),
+            origin: Origin::new(config.dc, config.pool.without),
             stage,
             version: 0,
             started: now,
             beaten: Time::default(),
-            beaten_all: Time::default(),
-            taught: (Time::default(), InstanceId::default()),
+            slow_round: Round::default(),
+            teach_round: Round::default(),
+            close: Close::default(),
+            stale: true,
+            uneven: None,
+            circled: Time::default(),
             compared: Time::default(),
             holdings: Vec::new(),
             own: VecDeque::new(),
@@ -207,7 +235,11 @@
                 self.compare_alive(now, out);
             }
             Input::LinkReset(peer) => {
-                self.pool_input(now, PoolInput::AskOrigin(peer), out);
+                // What it has handed in since it names by itself, as its own link has broken. Asking also without
+                // having any of it would be six messages for each two processes of a deployment as they start.
+                if self.pool.has_work_of(peer) {
+                    self.pool_input(now, PoolInput::AskOrigin(peer), out);
+                }
                 self.origin_input(now, OriginInput::LinkReset(peer), out);
             }
             Input::Work(from, msg) => self.work(now, from, msg, out),
@@ -222,6 +254,9 @@
             Input::Answered(key, answer) => {
                 self.pool_input(now, PoolInput::Answered(key, answer), out);
             }
+            Input::AnsweredLate(took) => {
+                self.pool_input(now, PoolInput::AnsweredLate(took), out);
+            }
             Input::Version(version) => self.version = version,
             Input::Stop => {
                 self.set_stage(Stage::Leaving, out);
@@ -255,6 +290,7 @@
     fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
         self.compare_alive(now, out);
         for peer in self.peers.forget(now) {
+            self.lost.remove(&peer);
             out.push(Output::Forget(peer));
         }
         if self.config.part == Part::Entry {
@@ -263,17 +299,24 @@
                 self.compare_domains(now, out);
             }
             self.measure(now);
-            self.update_holders(now, out);
+            if self.stale || self.origin.misses_holder() {
+                self.update_holders(now, out);
+            } else {
+                let me = self.config.me.instance;
+                self.update_loads(now, me, self.holdings.clone(), out);
+            }
             self.spread_learned(now, out);
             self.pool_input(now, PoolInput::Tick, out);
             self.origin_input(now, OriginInput::Tick, out);
         }
+        self.probe_silent(now, out);
         self.beat_if_due(now, out);
     }
 
     /// Becomes ready once it knows the configuration and had time to hear the others.
     fn join(&mut self, now: Time, out: &mut Vec<Output>) {
-        let wait = if self.is_undivided() && self.peers.all_new(now) {
+        let short = !self.config.pool.without.lacks(Mechanism::ShortListening);
+        let wait = if short && self.is_undivided() && self.peers.all_new(now) {
             JOIN_ANEW
         } else {
             JOIN
@@ -288,12 +331,17 @@
     fn beat(&mut self, now: Time, from: Process, beat: Beat, out: &mut Vec<Output>) {
         let before = self.peers.get(from.instance);
         let life = before.map(|view| view.process.incarnation);
-        let held = |beat: &Beat| -> Vec<_> { beat.holdings.iter().map(|h| h.domain).collect() };
+        let held = |beat: &Beat| -> Vec<_> {
+            let holdings = beat.holdings.iter();
+            holdings.map(|h| (h.domain, h.fence)).collect()
+        };
         let held_before = before.map(|view| held(&view.beat));
+        let hurried = before.is_some_and(PeerView::is_close);
         let holdings = held(&beat);
         self.domains.observe(beat.fence);
-        let window = self.window(&beat);
-        let echo = beat.echo;
+        let window = Self::window(&beat);
+        let (echo, loads) = (beat.echo, beat.holdings.clone());
+        let answer = beat.probe;
         if !self.peers.heard(now, from, beat, window) {
             return;
         }
@@ -310,6 +358,14 @@
             self.send_beat(now, from.instance, out);
             self.compare_domains(now, out);
             self.update_holders(now, out);
+        } else {
+            self.update_loads(now, from.instance, loads, out);
+            // The first frequent heartbeat of a process that was asked for them is answered at once: it
+            // may wait for what it hears of itself by that to start what was handed to it.
+            let close = window <= CLOSE && !hurried;
+            if answer || close {
+                self.send_beat(now, from.instance, out);
+            }
         }
     }
 
@@ -331,6 +387,7 @@
         let lost: Vec<_> = self.alive.difference(&alive).copied().collect();
         let found: Vec<_> = alive.difference(&self.alive).copied().collect();
         self.alive = alive;
+        self.stale |= !found.is_empty() || !lost.is_empty();
         for peer in found {
             self.found(now, peer, out);
         }
@@ -340,12 +397,17 @@
     }
 
     fn found(&mut self, now: Time, peer: InstanceId, out: &mut Vec<Output>) {
+        self.stale = true;
         out.push(Output::Heard(peer));
         self.send_beat(now, peer, out);
-        self.pool_input(now, PoolInput::AskOrigin(peer), out);
+        // What it handed in while it was taken for lost was not taken.
+        if self.lost.remove(&peer) {
+            self.pool_input(now, PoolInput::AskOrigin(peer), out);
+        }
     }
 
     fn lose_peer(&mut self, now: Time, peer: InstanceId, out: &mut Vec<Output>) {
+        self.lost.insert(peer);
         let view = self.peers.get(peer);
         let silent = view.map_or(Duration::ZERO, |view| now.since(view.heard));
         out.push(Output::Member(MemberNote::PeerLost {
@@ -369,12 +431,27 @@
         }
         let mut changes = Vec::new();
         self.divide(now, &mut changes, out);
-        self.domains.set_undivided(self.is_undivided());
+        let short = !self.config.pool.without.lacks(Mechanism::ShortListening);
+        self.domains.set_undivided(short && self.is_undivided());
+        self.domains
+            .set_unsettled(self.uneven.is_some() && self.domains.shards() == 1);
         let held = self.domains.held().keys().copied();
         let reached = held.filter(|domain| self.pool.reaches(now, *domain, WORKERS_HEARD));
         self.domains
             .tick(now, &self.peers, &reached.collect(), &mut changes);
         self.change_domains(now, changes, out);
+        self.update_circle(now);
+    }
+
+    /// Finds out who stands ready for whom, often enough that those who have just come or gone are counted.
+    fn update_circle(&mut self, now: Time) {
+        if now.since(self.circled) < CIRCLE {
+            return;
+        }
+        self.circled = now;
+        let circle = self.domains.circle(now, &self.peers);
+        self.close.ahead = circle.ahead;
+        self.close.successors = circle.successors;
     }
 
     /// Whether workers are known, and one dispatcher suffices for all of them.
@@ -387,10 +464,24 @@
     fn divide(&mut self, now: Time, changes: &mut Vec<Change>, out: &mut Vec<Output>) {
         let wanted = shards(self.pool.known_workers(), self.config.shard);
         let told = self.peers.alive(now).map(|(_, view)| view.beat.shards);
-        let shards = told.max().unwrap_or(1).max(wanted);
+        let told = told.max();
+        let shards = told.unwrap_or(1).max(wanted);
         if shards <= self.domains.shards() {
+            self.uneven = None;
             return;
         }
+        // All that are there announce themselves within a moment of each other, and each division gives up all that
+        // is held: they divide once, when no more are heard of.
+        let known = self.pool.known_workers();
+        let uneven = self.uneven.get_or_insert((known, now, now));
+        if uneven.0 != known {
+            (uneven.0, uneven.2) = (known, now);
+        }
+        let settled = now.since(uneven.2) >= SETTLED || now.since(uneven.1) >= UNSETTLED;
+        if told.is_none_or(|told| told < shards) && !settled {
+            return;
+        }
+        self.uneven = None;
         self.domains.set_shards(shards, changes);
         self.change_domains(now, std::mem::take(changes), out);
         self.pool.set_shards(shards);
@@ -462,7 +553,12 @@
         self.origin.handle(now, input, &mut outputs);
         for output in outputs {
             match output {
-                celerywinch_origin::Output::Send(to, msg) => self.send_work(to, msg, out),
+                celerywinch_origin::Output::Send(to, msg) => {
+                    if matches!(msg, WorkMsg::Submit(_)) {
+                        self.hand_to(now, to, out);
+                    }
+                    self.send_work(to, msg, out);
+                }
                 celerywinch_origin::Output::Answer(caller, end) => {
                     out.push(Output::Answer(caller, end));
                 }
--- a/crates/celerywinch_member/tests/idle.rs
+++ b/crates/celerywinch_member/tests/idle.rs
@@ -30,6 +30,9 @@
         shards: 1,
         sent: Time(0),
         echo: None,
+        every: 100,
+        wants: true,
+        probe: false,
     }
 }
 
--- a/crates/celerywinch_node/src/links.rs
+++ b/crates/celerywinch_node/src/links.rs
@@ -72,7 +72,7 @@
         self.clock.observe(stamp);
     }
 
-    fn sent(&self, bytes: usize) {
+    fn sent(&self, _msg: &PeerMsg, bytes: usize) {
         self.metrics.peer_messages.inc();
         self.metrics.peer_bytes.inc_by(bytes as u64);
     }
--- a/crates/celerywinch_origin/src/choice.rs
+++ b/crates/celerywinch_origin/src/choice.rs
@@ -21,6 +21,9 @@
     pub instance: InstanceId,
     /// Its room, less what was handed in since it was told.
     pub load: Load,
+    /// Whether it is one of those that this origin works with; the others get work only of dispatchers that they
+    /// take over from.
+    pub close: bool,
 }
 
 /// What is to be handed in.
@@ -66,8 +69,11 @@
 /// refused, or waits, only after several had no room for it. With 350 workers under 16 dispatchers and
 /// a burst of 1.8 times the usual load 927 of 1,000 jobs end in time by that, and 813 without it.
 pub(crate) fn choose(holders: &[Holder], wanted: &Wanted) -> Option<Choice> {
-    let all = candidates(holders, wanted.dc);
+    let mut all = candidates(holders, wanted.dc);
     let alone = all.len() == 1;
+    if all.iter().any(|c| c.holder.close) {
+        all.retain(|c| c.holder.close);
+    }
     let untried = |c: &&Candidate| !wanted.full.contains(&c.holder.instance);
     let roomy = all.iter().filter(|c| c.free > 0).filter(untried);
     let roomy = two(roomy.copied().collect(), wanted);
--- a/crates/celerywinch_origin/src/origin.rs
+++ b/crates/celerywinch_origin/src/origin.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use celerywinch_types::{
-    DataCentreId, Domain, Doubt, InstanceId, JobEnd, JobId, JobPlan, Queue, RunNumber, Session,
-    TaskEnd, TaskNews, Time, WorkMsg, domain, identifier,
+    DataCentreId, Domain, Doubt, Holding, InstanceId, JobEnd, JobId, JobPlan, Mechanism, Queue,
+    RunNumber, Session, TaskEnd, TaskNews, Time, Without, WorkMsg, domain, identifier,
 };
 
 use crate::choice::{Choice, Wanted, choose};
@@ -54,6 +54,8 @@
     Work(InstanceId, WorkMsg),
     /// Who dispatches, and how much room there is.
     Holders(Vec<Holder>),
+    /// The room of a dispatcher, where it dispatches for the same domains as before.
+    Loads(InstanceId, Vec<Holding>),
     /// Messages to this dispatcher may be lost.
     LinkReset(InstanceId),
     /// A process is not heard any more.
@@ -79,7 +81,9 @@
 #[derive(Debug)]
 pub struct Origin {
     dc: DataCentreId,
+    without: Without,
     pub(crate) holders: Vec<Holder>,
+    misses_holder: bool,
     /// The domains that a process was last known to dispatch for.
     pub(crate) held: BTreeMap<InstanceId, Arc<BTreeSet<Domain>>>,
     pub(crate) jobs: BTreeMap<JobId, Job>,
@@ -98,10 +102,12 @@
 impl Origin {
     /// No jobs yet.
     #[must_use]
-    pub fn new(dc: DataCentreId) -> Self {
+    pub fn new(dc: DataCentreId, without: Without) -> Self {
         Self {
             dc,
+            without,
             holders: Vec::new(),
+            misses_holder: false,
             held: BTreeMap::new(),
             jobs: BTreeMap::new(),
             callers: BTreeMap::new(),
@@ -138,6 +144,7 @@
             Input::CallerGone(caller) => self.caller_gone(now, caller, out),
             Input::Work(from, msg) => self.work(now, from, msg, out),
             Input::Holders(holders) => self.set_holders(holders),
+            Input::Loads(dispatcher, holdings) => self.set_loads(dispatcher, &holdings),
             Input::LinkReset(peer) => self.hand_in_again(now, peer, out),
             Input::PeerLost(peer) => self.peer_lost(now, peer, out),
             Input::Paused => self.give_up_all(now, out),
@@ -159,6 +166,30 @@
             }
         }
         self.holders = holders;
+        self.misses_holder = false;
+    }
+
+    fn set_loads(&mut self, dispatcher: InstanceId, holdings: &[Holding]) {
+        let holders = self.holders.iter_mut();
+        for holder in holders.filter(|holder| holder.instance == dispatcher) {
+            let told = holdings.iter().find(|h| h.domain == holder.domain);
+            if let Some(told) = told {
+                holder.load = told.load;
+            }
+        }
+    }
+
+    /// Whether a dispatcher was left out since the holders were told last: it gave work back, and may dispatch on
+    /// for other domains.
+    #[must_use]
+    pub fn misses_holder(&self) -> bool {
+        self.misses_holder
+    }
+
+    /// Dispatchers that have work of this origin, or may have.
+    #[must_use]
+    pub fn dispatchers(&self) -> BTreeSet<InstanceId> {
+        self.jobs.values().flat_map(Job::dispatchers).collect()
     }
 
     fn submit(&mut self, now: Time, caller: CallerId, new: NewJob, out: &mut Vec<Output>) {
@@ -317,6 +348,7 @@
     fn wait_for_holder(&mut self, job: JobId, from: InstanceId) {
         self.open.insert(job);
         self.holders.retain(|holder| holder.instance != from);
+        self.misses_holder = true;
     }
 
     fn finish_if_done(&mut self, now: Time, id: JobId, out: &mut Vec<Output>) {
@@ -471,7 +503,7 @@
         let mut order = job.order(now, step, orders);
         order.session = session.copied().unwrap_or_default();
         order.fresh = fresh;
-        order.pass = choice.pass;
+        order.pass = choice.pass && !self.without.lacks(Mechanism::Passing);
         out.push(Output::Send(holder.instance, WorkMsg::Submit(order)));
         // Until the next heartbeat tells, the room is believed to be taken.
         let mut taken = u32::try_from(count).unwrap_or(u32::MAX);
--- a/crates/celerywinch_pool/src/admission.rs
+++ b/crates/celerywinch_pool/src/admission.rs
@@ -2,12 +2,11 @@
 
 use std::time::Duration;
 
-use celerywinch_types::{Domain, Load, TaskEnd, TaskNews, Time};
+use celerywinch_types::{Domain, Load, Mechanism, TaskEnd, TaskNews, Time};
 
 use crate::Note;
 use crate::job::{Batch, BatchKey, TaskState};
 use crate::pool::{Output, Pool};
-use crate::queue::Queue;
 
 /// The share of the processors that placement can fill: what remains on a worker is often too
 /// small for one more task.
@@ -69,11 +68,17 @@
         tasks: usize,
         out: &mut Vec<Output>,
     ) -> bool {
-        if self.queue.is_empty() && self.places(now, batch) >= tasks {
+        let without = self.config.without;
+        let room = self.queue.is_empty() && self.places(now, batch) >= tasks;
+        if room || without.lacks(Mechanism::Admission) {
             return false;
         }
-        let rank = Queue::rank(BatchKey::default(), batch);
-        let coming = self.inflow.above(now, batch.order.priority);
+        let rank = self.rank(BatchKey::default(), batch);
+        let coming = if without.lacks(Mechanism::Inflow) {
+            0.0
+        } else {
+            self.inflow.above(now, batch.order.priority)
+        };
         let own = batch.work_of(tasks);
         let wait = self.wait_ms(now, self.queue.ahead(rank), own, coming);
         if fits(now, batch, wait) {
@@ -90,7 +95,11 @@
     }
 
     fn refuse(&mut self, now: Time, batch: &Batch, wait: u32, out: &mut Vec<Output>) {
-        let later = wait.max(LEAST_RETRY_MS);
+        let later = if self.config.without.lacks(Mechanism::RetryTime) {
+            LEAST_RETRY_MS
+        } else {
+            wait.max(LEAST_RETRY_MS)
+        };
         out.push(Output::Note(Note::Refused {
             job: batch.order.job,
             wait,
@@ -111,13 +120,16 @@
     /// Refuses jobs of which nothing has run and which can no longer end in time. Their callers are
     /// told at once, and the room goes to those that can.
     pub(crate) fn shed(&mut self, now: Time, out: &mut Vec<Output>) {
+        if self.config.without.lacks(Mechanism::Shedding) {
+            return;
+        }
         for key in self.queue.keys() {
             let batch = &self.batches[key];
             let untouched = batch.tasks.values().all(|t| t.state == TaskState::Waiting);
             if batch.begun || !untouched || fits(now, batch, 0) {
                 continue;
             }
-            let wait = self.wait_ms(now, self.queue.ahead(Queue::rank(key, batch)), 0.0, 0.0);
+            let wait = self.wait_ms(now, self.queue.ahead(self.rank(key, batch)), 0.0, 0.0);
             let batch = batch.clone();
             self.refuse(now, &batch, wait, out);
             self.drop_batch(now, key, out);
--- a/crates/celerywinch_pool/src/call.rs
+++ b/crates/celerywinch_pool/src/call.rs
@@ -43,6 +43,17 @@
     },
 }
 
+impl Order {
+    /// How long the worker waits before it answers, at most.
+    #[must_use]
+    pub fn waits(&self) -> Duration {
+        match self {
+            Self::Look { wait, .. } => Duration::from_millis((*wait).into()),
+            Self::Start { .. } | Self::Stop { .. } => Duration::ZERO,
+        }
+    }
+}
+
 /// A call to a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Call {
--- a/crates/celerywinch_pool/src/config.rs
+++ b/crates/celerywinch_pool/src/config.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use celerywinch_types::Without;
+
 /// How slow a worker's steady clock may be; by the users' page.
 pub const CLOCK_ERROR: f64 = 0.02;
 /// Allowance for the rounding of times to whole ms and for a message under way, added to the end of
@@ -28,6 +30,9 @@
     pub answer: Duration,
     /// The same for orders; one that takes longer is settled by a stop.
     pub order: Duration,
+    /// The most that any answer is waited for, beside the wait of a look, where all of them are slow. With the wait for what
+    /// is not read yet two of them fit into a lease.
+    pub slow: Duration,
     /// How long ends wait for being acknowledged to a worker that has nothing else to do.
     pub tidy: Duration,
     /// An idle worker is looked at this often. Its clock may lose 2% of the time since the last reading, and a lease
@@ -54,6 +59,8 @@
     pub forget: Duration,
     /// How long a stop may take on a worker.
     pub stop: Duration,
+    /// Mechanisms that are left out.
+    pub without: Without,
 }
 
 impl Default for PoolConfig {
@@ -64,6 +71,7 @@
             least_wait: Duration::from_millis(80),
             answer: Duration::from_millis(80),
             order: Duration::from_millis(80),
+            slow: Duration::from_millis(300),
             tidy: Duration::from_millis(400),
             idle: Duration::from_secs(4),
             quiet: Duration::from_millis(400),
@@ -73,6 +81,7 @@
             aside: Duration::from_millis(1_500),
             forget: Duration::from_secs(20),
             stop: Duration::from_millis(50),
+            without: Without::default(),
         }
     }
 }
--- a/crates/celerywinch_pool/src/grants.rs
+++ b/crates/celerywinch_pool/src/grants.rs
@@ -7,7 +7,7 @@
 //! over by this dispatcher's own clock before the origin can have passed the task on, and the origin
 //! renews it with each heartbeat. A hand-in of an earlier session than the grant's is not taken at all.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use celerywinch_types::{Incarnation, InstanceId, Session, Time};
@@ -91,11 +91,13 @@
         grant.is_some_and(|grant| grant.until > now && Some(grant.session) == session)
     }
 
-    /// Origins whose grants have been over for long enough that what they have here is dropped.
-    fn lapsed(&self, now: Time) -> Vec<InstanceId> {
-        let over = |grant: &Grant| now.since(grant.until) >= SUSPENDED;
-        let grants = self.grants.iter().filter(|(_, grant)| over(grant));
-        grants.map(|(origin, _)| *origin).collect()
+    /// Those of `origins` whose grants have been over for long enough that what they have here is dropped.
+    fn lapsed(&self, now: Time, origins: impl Iterator<Item = InstanceId>) -> BTreeSet<InstanceId> {
+        let over = |origin: &InstanceId| {
+            let grant = self.grants.get(origin);
+            grant.is_some_and(|grant| now.since(grant.until) >= SUSPENDED)
+        };
+        origins.filter(over).collect()
     }
 }
 
@@ -162,12 +164,10 @@
 
     /// Drops what origins have here whose grants are over for good.
     pub(crate) fn tend_grants(&mut self, now: Time, out: &mut Vec<Output>) {
-        for origin in self.grants.lapsed(now) {
-            let open = self.batches.values().any(|batch| batch.origin == origin);
-            if open {
-                out.push(Output::Note(Note::GrantOver { origin }));
-                self.drop_origin(now, origin, out);
-            }
+        let origins = self.batches.values().map(|batch| batch.origin);
+        for origin in self.grants.lapsed(now, origins) {
+            out.push(Output::Note(Note::GrantOver { origin }));
+            self.drop_origin(now, origin, out);
         }
     }
 }
--- a/crates/celerywinch_pool/src/leases.rs
+++ b/crates/celerywinch_pool/src/leases.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use celerywinch_types::{Domain, Time, WorkerClock};
+use celerywinch_types::{Domain, Mechanism, Time, WorkerClock};
 
 use crate::call::{LookKind, Order, Pending, Question};
 use crate::pool::{Output, Pool};
@@ -225,7 +225,8 @@
         let run = self.runs[key];
         let took = now.since(run.started);
         let late = run.expected.mul_f64(LATE_FACTOR) + LATE_MARGIN;
-        if run.stopping || took < late {
+        let stays = self.config.without.lacks(Mechanism::Moving);
+        if run.stopping || took < late || stays {
             return;
         }
         let done = f64::from(percent.clamp(1, 100)) / 100.0;
@@ -242,8 +243,11 @@
         }
         let usual = usual.as_secs_f64().max(1e-3);
         let worker = &mut self.workers[run.worker];
-        worker.learn_pace(took.as_secs_f64() / done / usual);
-        if worker.pace > SLOW_PACE || percent == 0 {
+        if !self.config.without.lacks(Mechanism::Pace) {
+            worker.learn_pace(took.as_secs_f64() / done / usual);
+        }
+        let set_aside = !self.config.without.lacks(Mechanism::Probation);
+        if set_aside && (worker.pace > SLOW_PACE || percent == 0) {
             worker.aside = now + self.config.aside;
             worker.probation = true;
         }
--- a/crates/celerywinch_pool/src/origins.rs
+++ b/crates/celerywinch_pool/src/origins.rs
@@ -24,6 +24,12 @@
         out.push(Output::Send(origin, WorkMsg::Resync(self.asks)));
     }
 
+    /// Whether work of an origin is here.
+    #[must_use]
+    pub fn has_work_of(&self, origin: InstanceId) -> bool {
+        self.batches.values().any(|batch| batch.origin == origin)
+    }
+
     /// An origin has named all that it wants, or may want yet.
     pub(crate) fn sweep(
         &mut self,
--- a/crates/celerywinch_pool/src/patience.rs
+++ b/crates/celerywinch_pool/src/patience.rs
@@ -5,6 +5,12 @@
 //! several requests come at once. So the wait follows what answers took, by the estimator that TCP uses
 //! for its retransmission timer: the mean, and here eight times the mean deviation, as a process that is
 //! short of time reads many answers late at once: with four, one call in nine was given up at size.
+//!
+//! Where the path of the dispatcher itself is slow, all answers are late, also those of workers that were not called
+//! lately. A wait that ends too early then feeds what makes it end too early: the order is asked after, stopped and
+//! sent elsewhere, on new connections. With links of 2 Mbit/s that never ended, and 3% of the callers were
+//! served. So the answers of all workers are counted together too, and those that come after their time
+//! lengthen the wait for the next ones; those that never come do not.
 
 use std::time::Duration;
 
@@ -17,7 +23,7 @@
 /// core gave up so many that their peak memory rose from 9 to 17 MB.
 const LEAST: Duration = Duration::from_millis(40);
 
-/// What the answers of a worker took.
+/// What the answers of a worker took, or of all.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Patience {
     /// Mean and mean deviation, in seconds; none before the first answer.
@@ -25,6 +31,13 @@
 }
 
 impl Patience {
+    /// One that counts on quick answers before anything is known.
+    pub(crate) fn quick() -> Self {
+        Self {
+            known: Some((0.0, 0.0)),
+        }
+    }
+
     /// An answer took so long.
     pub(crate) fn learn(&mut self, took: Duration) {
         let took = took.as_secs_f64();
--- a/crates/celerywinch_pool/src/place.rs
+++ b/crates/celerywinch_pool/src/place.rs
@@ -1,6 +1,6 @@
 //! Which waiting task goes to which worker.
 
-use celerywinch_types::{RunNumber, Time};
+use celerywinch_types::{Mechanism, RunNumber, Time};
 
 use crate::Note;
 use crate::call::{Order, Pending};
@@ -69,7 +69,8 @@
         let fitting = workers.filter(|(key, worker)| {
             worker.takes(now) && self.suits(batch, *key, worker) && !self.has_suspended(now, worker)
         });
-        let cost = |key: WorkerKey, worker: &Worker| cost(batch, task, key, worker);
+        let packs = !self.config.without.lacks(Mechanism::Packing);
+        let cost = |key: WorkerKey, worker: &Worker| cost(batch, task, key, worker, packs);
         fitting
             .min_by(|a, b| cost(a.0, a.1).total_cmp(&cost(b.0, b.1)))
             .map(|(key, _)| key)
@@ -164,9 +165,13 @@
 }
 
 /// Less is better: what is left empty on the worker, and how long the task would take there.
-fn cost(batch: &Batch, task: &Task, key: WorkerKey, worker: &Worker) -> f64 {
+fn cost(batch: &Batch, task: &Task, key: WorkerKey, worker: &Worker, packs: bool) -> f64 {
     let left = worker.free.less(batch.order.need).cpu;
-    let empty = f64::from(left) / f64::from(worker.note.room.cpu.max(1));
+    let empty = if packs {
+        f64::from(left) / f64::from(worker.note.room.cpu.max(1))
+    } else {
+        0.0
+    };
     let pace = worker.pace * distance(batch, worker);
     let avoid = if task.avoid == Some(key) {
         AVOID_COST
--- a/crates/celerywinch_pool/src/pool.rs
+++ b/crates/celerywinch_pool/src/pool.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use celerywinch_types::{
-    Domain, Fence, InstanceId, JobId, Learned, RunNumber, TaskEnd, TaskId, TaskNews, Time, WorkMsg,
-    WorkerNote, WorkerStage,
+    Domain, Fence, InstanceId, JobId, Learned, Mechanism, RunNumber, TaskEnd, TaskId, TaskNews,
+    Time, WorkMsg, WorkerNote, WorkerStage,
 };
 use slotmap::SlotMap;
 
@@ -14,7 +14,8 @@
 use crate::grants::{Grant, Grants};
 use crate::inflow::Inflow;
 use crate::job::{Batch, BatchKey, TaskState};
-use crate::queue::Queue;
+use crate::patience::Patience;
+use crate::queue::{Queue, Rank};
 use crate::run::{Phase, Run, RunKey};
 use crate::takeover::Takeover;
 use crate::times::Times;
@@ -45,6 +46,8 @@
     OriginLost(InstanceId),
     /// What came of a call.
     Answered(CallKey, Answer),
+    /// An answer came after its time, so long after the call, without the time that the worker was to wait.
+    AnsweredLate(Duration),
     /// Whether any worker of a domain that is held can be reached: one that has nothing to do is
     /// asked, unless one has answered lately.
     Ask(Domain),
@@ -83,6 +86,8 @@
     pub(crate) calls: SlotMap<CallKey, Pending>,
     pub(crate) queue: Queue,
     pub(crate) times: Times,
+    /// What the answers of all workers took.
+    pub(crate) answers: Patience,
     pub(crate) inflow: Inflow,
     pub(crate) takeover: Takeover,
     pub(crate) grants: Grants,
@@ -118,6 +123,7 @@
             calls: SlotMap::with_key(),
             queue: Queue::default(),
             times: Times::default(),
+            answers: Patience::quick(),
             inflow: Inflow::default(),
             takeover: Takeover::default(),
             grants: Grants::default(),
@@ -152,13 +158,12 @@
         there.any(|w| w.grip == Grip::Held && w.silent == 0 && now.since(w.heard) <= span)
     }
 
-    /// What was learned of run times and of the workers' paces, for a successor.
+    /// What was learned of run times, and of the paces of the workers that obey, for a successor. Those of others are
+    /// as old as the last change of hands.
     #[must_use]
     pub fn learned(&self) -> Learned {
-        let paces = self
-            .workers
-            .values()
-            .map(|w| (w.note.id.clone(), w.pace as f32));
+        let held = self.workers.values().filter(|w| w.grip == Grip::Held);
+        let paces = held.map(|w| (w.note.id.clone(), w.pace as f32));
         Learned {
             queues: self.times.learned(),
             paces: paces.collect(),
@@ -223,6 +228,7 @@
             Input::AskOrigin(origin) => self.ask_origin(origin, out),
             Input::OriginLost(origin) => self.drop_origin(now, origin, out),
             Input::Answered(key, answer) => self.answered(now, key, answer, out),
+            Input::AnsweredLate(took) => self.answers.learn(took),
             Input::Ask(domain) => self.ask(now, domain, out),
             Input::Tick => self.tick(now, out),
         }
@@ -334,15 +340,21 @@
         for key in std::mem::take(&mut self.touched) {
             let empty = self.batches.get(key).is_some_and(|b| b.tasks.is_empty());
             if empty && let Some(batch) = self.batches.remove(key) {
-                self.queue.remove(Queue::rank(key, &batch));
+                self.queue.remove(self.rank(key, &batch));
                 self.jobs.remove(&(batch.order.job, batch.order.step));
             }
         }
     }
 
+    /// Where a batch stands in the queue.
+    pub(crate) fn rank(&self, key: BatchKey, batch: &Batch) -> Rank {
+        Rank::new(key, batch, self.config.without)
+    }
+
     pub(crate) fn unqueue(&mut self, key: BatchKey) {
         if let Some(batch) = self.batches.get(key) {
-            self.queue.remove(Queue::rank(key, batch));
+            let rank = self.rank(key, batch);
+            self.queue.remove(rank);
         }
     }
 
@@ -350,7 +362,8 @@
         if let Some(batch) = self.batches.get(key)
             && batch.waiting() > 0
         {
-            self.queue.insert(Queue::rank(key, batch));
+            let rank = self.rank(key, batch);
+            self.queue.insert(rank);
         }
     }
 
@@ -398,10 +411,17 @@
     ) -> Option<CallKey> {
         let held = &self.workers[worker].note;
         let fence = *self.held.get(&self.workers[worker].domain)?;
+        let slow = self.answers.wait(self.config.slow);
         let wait = match order {
-            Order::Look { wait, .. } => Duration::from_millis(wait.into()) + self.config.answer,
+            Order::Look { .. } => order.waits() + self.config.answer.max(slow),
+            Order::Start { .. } | Order::Stop { .. }
+                if self.config.without.lacks(Mechanism::Patience) =>
+            {
+                self.config.order
+            }
             Order::Start { .. } | Order::Stop { .. } => {
-                self.workers[worker].patience.wait(self.config.order)
+                let wait = self.workers[worker].patience.wait(self.config.order);
+                wait.max(slow)
             }
         };
         let key = self.calls.insert(pending);
--- a/crates/celerywinch_pool/src/queue.rs
+++ b/crates/celerywinch_pool/src/queue.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use celerywinch_types::Time;
+use celerywinch_types::{Mechanism, Time, Without};
 
 use crate::job::{Batch, BatchKey};
 
@@ -14,6 +14,22 @@
     key: BatchKey,
 }
 
+impl Rank {
+    /// By priority, then by the end of the objective: those that would lose most by waiting.
+    pub(crate) fn new(key: BatchKey, batch: &Batch, without: Without) -> Self {
+        let priority = if without.lacks(Mechanism::Priority) {
+            0
+        } else {
+            batch.order.priority
+        };
+        Self {
+            priority,
+            due: batch.due,
+            key,
+        }
+    }
+}
+
 /// Batches with waiting tasks, in order.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Queue {
@@ -21,15 +37,6 @@
 }
 
 impl Queue {
-    /// By priority, then by the end of the objective: those that would lose most by waiting.
-    pub(crate) fn rank(key: BatchKey, batch: &Batch) -> Rank {
-        Rank {
-            priority: batch.order.priority,
-            due: batch.due,
-            key,
-        }
-    }
-
     pub(crate) fn insert(&mut self, rank: Rank) {
         self.ranks.insert(rank);
     }
--- a/crates/celerywinch_pool/src/results.rs
+++ b/crates/celerywinch_pool/src/results.rs
@@ -1,6 +1,6 @@
 //! What came of calls.
 
-use celerywinch_types::{RunNumber, TaskEnd, Time, WorkerClock, WorkerStage};
+use celerywinch_types::{Mechanism, RunNumber, TaskEnd, Time, WorkerClock, WorkerStage};
 
 use crate::call::{
     Answer, CallKey, EndedRow, How, LookKind, Pending, Question, Reject, RunningRow,
@@ -61,6 +61,7 @@
             if let Some(worker) = self.workers.get_mut(run.worker) {
                 worker.patience.learn(now.since(run.started));
             }
+            self.answers.learn(now.since(run.started));
         }
         let heard = Phase::Running(self.inputs);
         match answer {
@@ -326,9 +327,14 @@
             return;
         }
         let usual = run.expected.as_secs_f64() / worker.pace.max(f64::EPSILON);
-        self.times
-            .learn(&order.queue, order.estimate, took.div_f64(worker.pace));
-        worker.learn_pace(took.as_secs_f64() / usual.max(1e-3));
+        let without = self.config.without;
+        if !without.lacks(Mechanism::Learning) {
+            self.times
+                .learn(&order.queue, order.estimate, took.div_f64(worker.pace));
+        }
+        if !without.lacks(Mechanism::Pace) {
+            worker.learn_pace(took.as_secs_f64() / usual.max(1e-3));
+        }
     }
 
     /// A task that fails on several workers is at fault itself; one that fails on a worker which
@@ -359,7 +365,8 @@
     fn blame(&mut self, now: Time, key: WorkerKey, out: &mut Vec<Output>) {
         let worker = &mut self.workers[key];
         worker.failed();
-        if worker.failing >= FAILING && worker.note.stage == WorkerStage::Ready {
+        let set_aside = !self.config.without.lacks(Mechanism::Probation);
+        if set_aside && worker.failing >= FAILING && worker.note.stage == WorkerStage::Ready {
             worker.aside = now + self.config.aside;
             worker.probation = true;
             let worker = worker.note.id.clone();
--- a/crates/celerywinch_pool/src/takeover.rs
+++ b/crates/celerywinch_pool/src/takeover.rs
@@ -2,13 +2,12 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use celerywinch_types::{Domain, Doubt, Fence, RunNumber, TaskEnd, TaskId, Time};
+use celerywinch_types::{Domain, Doubt, Fence, Mechanism, RunNumber, TaskEnd, TaskId, Time};
 
 use crate::Note;
 use crate::call::{EndedRow, How, Order, Pending, RunningRow};
 use crate::job::{BatchKey, TaskState};
 use crate::pool::{Output, Pool};
-use crate::queue::Queue;
 use crate::run::{Phase, Run};
 use crate::worker::{Grip, Worker, WorkerKey};
 
@@ -125,7 +124,11 @@
         }
         let open = task.doubt == Doubt::Open;
         match self.takeover.aliens.get(&id).copied() {
-            Some(alien) if !alien.stopped && (open || alien.run == task.run) => {
+            Some(alien)
+                if !alien.stopped
+                    && (open || alien.run == task.run)
+                    && !self.config.without.lacks(Mechanism::Adoption) =>
+            {
                 self.takeover.aliens.remove(&id);
                 self.adopt_run(now, key, index, alien);
             }
@@ -143,10 +146,11 @@
         how: How,
         run: RunNumber,
     ) -> bool {
+        let long_way = self.config.without.lacks(Mechanism::Shortcuts);
         let Some(task) = self.batches[key].tasks.get_mut(&index) else {
             return false;
         };
-        let last = task.doubt == Doubt::Last && run == task.run;
+        let last = task.doubt == Doubt::Last && run == task.run && !long_way;
         match how {
             How::Done => self.finish(now, key, index, TaskEnd::Done),
             How::Failed | How::Cut if last => {
@@ -335,7 +339,7 @@
             let Some(batch) = self.batches.get(key) else {
                 continue;
             };
-            self.queue.remove(Queue::rank(key, batch));
+            self.queue.remove(self.rank(key, batch));
             let tasks: Vec<_> = batch.tasks.iter().map(|(i, t)| (*i, t.state)).collect();
             for (index, state) in tasks {
                 given += 1;
--- a/crates/celerywinch_types/src/fleet.rs
+++ b/crates/celerywinch_types/src/fleet.rs
@@ -96,8 +96,17 @@
         pub shards: u8,
         /// When it was sent, by the sender's clock; for the receiver to send back.
         pub sent: Time,
-        /// What the sender has heard of the receiver; none if it does not count it as alive.
+        /// What the sender has heard of the receiver, if it hands work to it; none if it does not, or does not
+        /// count it as alive.
         pub echo: Option<Echo>,
+        /// Ms until the next heartbeat to this receiver, at most.
+        pub every: u32,
+        /// Whether the sender needs the receiver's heartbeats often: it hands work to it, or would dispatch in
+        /// its place.
+        pub wants: bool,
+        /// Whether the receiver is to answer at once: all that the sender hears often in the receiver's data
+        /// centre have fallen silent.
+        pub probe: bool,
     }
 
     /// A process that the sender has heard of.
--- a/crates/celerywinch_types/src/lib.rs
+++ b/crates/celerywinch_types/src/lib.rs
@@ -9,6 +9,7 @@
 mod job;
 mod key;
 mod macros;
+mod mechanism;
 mod message;
 mod outcome;
 mod queue;
@@ -26,6 +27,7 @@
 pub use id::{DataCentreId, Holder, Incarnation, InstanceId, Process};
 pub use job::{Submission, TaskBody};
 pub use key::{Key, KeyError, MAX_KEY_BYTES};
+pub use mechanism::{Mechanism, UnknownMechanism, Without};
 pub use message::{
     Ballot, ClaimMsg, ClaimReply, Grant, Heartbeat, MemberMsg, PeerMsg, RelayMsg, Renewal, SlotMsg,
     VoteState,
--- a/crates/celerywinchd/src/lib.rs
+++ b/crates/celerywinchd/src/lib.rs
@@ -6,6 +6,7 @@
 use celerywinch_node::{Node, NodeOptions};
 use celerywinch_settings::{Settings, load_settings};
 pub use celerywinch_types::ExitStatus;
+use celerywinch_types::Without;
 use getopts::{Matches, Options};
 use log::LevelFilter;
 use ntex::rt::{DefaultRuntime, System, SystemRunner};
@@ -28,7 +29,10 @@
         return usage(&options, &error.to_string());
     }
     if matches.opt_present("platform") {
-        return on_platform();
+        return match without(&matches) {
+            Ok(without) => on_platform(without),
+            Err(error) => usage(&options, &format!("{error:#}")),
+        };
     }
     let Some(file) = matches.opt_str("settings") else {
         return usage(&options, "`--settings FILE` is missing");
@@ -44,9 +48,14 @@
 }
 
 /// Runs on the users' platform, which names the settings file by a variable.
-fn on_platform() -> ExitStatus {
+fn on_platform(without: Without) -> ExitStatus {
     let path = celerywinch_platform::settings_path();
-    finish(start_system().block_on(async move { celerywinch_platform::run(&path).await }))
+    finish(start_system().block_on(async move { celerywinch_platform::run(&path, without).await }))
+}
+
+fn without(matches: &Matches) -> anyhow::Result<Without> {
+    let names = matches.opt_str("without").unwrap_or_default();
+    names.parse().context("`--without`")
 }
 
 fn start_system() -> SystemRunner {
@@ -77,6 +86,12 @@
         "platform",
         "run on the users' platform, with its settings file",
     );
+    options.optopt(
+        "",
+        "without",
+        "with --platform: leave mechanisms of dispatching out, to measure their worth",
+        "NAMES",
+    );
     options.optflag("h", "help", "show this text");
     options
 }
