Work goes to a dispatcher, and a shard waits for an entry, only once it has answered

Found by reading: an origin that loses a dispatcher chooses another one, which it hears every 7 s at this size and counts as alive for up to 26 s. Now a process that becomes close is asked for an answer at once, counts as lost without one after 250 ms, and gets no work before it. Test: `work_goes_to_dispatchers_that_have_answered` (fails before: both get work, answered or not).

--- a/crates/celerywinch_member/src/beats.rs
+++ b/crates/celerywinch_member/src/beats.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use celerywinch_domains::PeerView;
+use celerywinch_domains::{Circle, PeerView};
 use celerywinch_origin::{Holder, Input as OriginInput};
 use celerywinch_pool::{Grant, Input as PoolInput};
 use celerywinch_types::{
@@ -52,9 +52,9 @@
     /// Dispatchers that its callers' jobs go to. Only these have grants to start them.
     dispatchers: BTreeSet<InstanceId>,
     /// Those that it would stand in for.
-    pub(crate) ahead: BTreeSet<InstanceId>,
+    ahead: BTreeSet<InstanceId>,
     /// Those that would stand in for it.
-    pub(crate) successors: BTreeSet<InstanceId>,
+    successors: BTreeSet<InstanceId>,
     /// Those that were told to expect frequent heartbeats.
     promised: BTreeSet<InstanceId>,
     /// When each data centre was probed.
@@ -91,7 +91,7 @@
                 domain,
                 instance,
                 load: holding.load,
-                close: self.hands_to(instance),
+                close: self.counts_on(instance),
             });
         let input = OriginInput::Holders(holders.collect());
         self.origin_input(now, input, out);
@@ -124,13 +124,37 @@
         }
     }
 
-    fn greet(&mut self, now: Time, dispatcher: InstanceId, out: &mut Vec<Output>) {
-        let known = dispatcher != self.config.me.instance && self.peers.get(dispatcher).is_some();
+    /// Asks a process for frequent heartbeats, and for an answer at once: it may be silent since it was heard last,
+    /// seconds ago. Callers' jobs that went to such a dispatcher would wait there for as long, and so would the shard of
+    /// one that such an entry comes before.
+    fn greet(&mut self, now: Time, peer: InstanceId, out: &mut Vec<Output>) {
+        let known = self.peers.get(peer).is_some_and(|view| !view.is_close());
         if known && !self.few() {
-            self.send_beat(now, dispatcher, out);
+            self.promise(now, peer);
+            self.send_probe(now, peer, out);
         }
     }
 
+    /// Takes over whom this entry has to hear, and who has to hear it.
+    pub(crate) fn set_circle(&mut self, now: Time, circle: Circle, out: &mut Vec<Output>) {
+        let new: Vec<_> = circle
+            .ahead
+            .difference(&self.close.ahead)
+            .copied()
+            .collect();
+        self.close.ahead = circle.ahead;
+        self.close.successors = circle.successors;
+        for peer in new {
+            self.greet(now, peer, out);
+        }
+    }
+
+    /// Whether new work may go to a dispatcher: this process, or one that is heard often.
+    fn counts_on(&self, dispatcher: InstanceId) -> bool {
+        let heard = self.peers.get(dispatcher).is_none_or(PeerView::is_close);
+        self.hands_to(dispatcher) && heard
+    }
+
     /// Whether callers' jobs go to a dispatcher.
     fn hands_to(&self, dispatcher: InstanceId) -> bool {
         self.few() || self.close.dispatchers.contains(&dispatcher)
@@ -320,13 +344,17 @@
         let there = alive.filter(|(_, view)| view.beat.dc == dc && !view.is_close());
         let peers: Vec<_> = there.map(|(peer, _)| peer).collect();
         for peer in peers {
-            self.peers.probed(now, peer);
-            let mut beat = self.beat_for(now, peer);
-            beat.probe = true;
-            out.push(Output::Send(peer, FleetMsg::Beat(beat)));
+            self.send_probe(now, peer, out);
         }
     }
 
+    fn send_probe(&mut self, now: Time, peer: InstanceId, out: &mut Vec<Output>) {
+        self.peers.probed(now, peer);
+        let mut beat = self.beat_for(now, peer);
+        beat.probe = true;
+        out.push(Output::Send(peer, FleetMsg::Beat(beat)));
+    }
+
     /// Tells the entries that would dispatch next what a successor needs to know, one after the other.
     pub(crate) fn spread_learned(&mut self, now: Time, out: &mut Vec<Output>) {
         let silent = self.config.pool.without.lacks(Mechanism::Teaching);
--- a/crates/celerywinch_member/src/member.rs
+++ b/crates/celerywinch_member/src/member.rs
@@ -363,6 +363,7 @@
             // The first frequent heartbeat of a process that was asked for them is answered at once: it
             // may wait for what it hears of itself by that to start what was handed to it.
             let close = window <= CLOSE && !hurried;
+            self.stale |= close;
             if answer || close {
                 self.send_beat(now, from.instance, out);
             }
@@ -440,18 +441,17 @@
         self.domains
             .tick(now, &self.peers, &reached.collect(), &mut changes);
         self.change_domains(now, changes, out);
-        self.update_circle(now);
+        self.update_circle(now, out);
     }
 
     /// Finds out who stands ready for whom, often enough that those who have just come or gone are counted.
-    fn update_circle(&mut self, now: Time) {
+    fn update_circle(&mut self, now: Time, out: &mut Vec<Output>) {
         if now.since(self.circled) < CIRCLE {
             return;
         }
         self.circled = now;
         let circle = self.domains.circle(now, &self.peers);
-        self.close.ahead = circle.ahead;
-        self.close.successors = circle.successors;
+        self.set_circle(now, circle, out);
     }
 
     /// Whether workers are known, and one dispatcher suffices for all of them.
--- a/crates/celerywinch_member/tests/probes.rs
+++ b/crates/celerywinch_member/tests/probes.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use celerywinch_member::{Input, Member, MemberConfig, Output};
+use celerywinch_origin::{CallerId, NewJob};
 use celerywinch_pool::PoolConfig;
 use celerywinch_types::{
-    Beat, DataCentreId, Domain, Fence, FleetMsg, Holding, Incarnation, InstanceId, Load, Part,
-    Process, Stage, Time, WallMs,
+    Beat, DataCentreId, Domain, Fence, FleetMsg, Holding, Incarnation, InstanceId, JobId, JobPlan,
+    Load, Part, Process, Queue, Room, RunNumber, Stage, StepPlan, Time, WallMs, WorkMsg,
 };
 use rstest::rstest;
 
@@ -54,6 +55,53 @@
     }
 }
 
+/// The entry under test.
+fn member(now: Time) -> Member {
+    let config = MemberConfig {
+        me: process(1),
+        part: Part::Entry,
+        dc: HERE,
+        dcs: BTreeSet::from([HERE, THERE]),
+        shard: 80,
+        pool: PoolConfig::default(),
+    };
+    let mut member = Member::new(config, now, WallMs(1_700_000_000_000));
+    member.handle(now, Input::Version(1), &mut Vec::new());
+    member
+}
+
+/// A job of two tasks.
+fn job(id: u64) -> NewJob {
+    NewJob {
+        id: JobId(id),
+        queue: Queue {
+            name: "q".to_owned(),
+            host: "h".to_owned(),
+            prefix: "/q/".to_owned(),
+            service: "s".to_owned(),
+            priority: 0,
+            attempts: 3,
+            slack: 1_600,
+            target: 60,
+            timeout: 1_500,
+            advised: false,
+        },
+        plan: JobPlan {
+            spec: String::new(),
+            steps: vec![StepPlan {
+                count: 2,
+                need: Room::default(),
+                estimate: 200,
+                after: Vec::new(),
+                label: None,
+                rack: None,
+                spread: None,
+            }],
+        },
+        first_run: RunNumber(0),
+    }
+}
+
 /// Who speaks on after the first second, and what follows from that.
 struct Case {
     /// Dispatchers that fall silent, by their place.
@@ -76,16 +124,7 @@
 #[case::nobody(Case { silent: &[], answer: false, asked: false, alive: true })]
 fn others_are_asked_when_all_that_is_close_is_silent(#[case] case: Case) {
     let mut now = Time(1_000_000);
-    let config = MemberConfig {
-        me: process(1),
-        part: Part::Entry,
-        dc: HERE,
-        dcs: BTreeSet::from([HERE, THERE]),
-        shard: 80,
-        pool: PoolConfig::default(),
-    };
-    let mut member = Member::new(config, now, WallMs(1_700_000_000_000));
-    member.handle(now, Input::Version(1), &mut Vec::new());
+    let mut member = member(now);
     let cut = Time(2_000_000);
     let mut asked = BTreeSet::new();
     while now < cut + Duration::from_millis(600) {
@@ -93,13 +132,13 @@
         let mut out = Vec::new();
         for (place, dispatcher) in DISPATCHERS.into_iter().enumerate() {
             let speaks = now < cut || !case.silent.contains(&place);
-            if speaks && now.0 % 100_000 == 0 {
+            if speaks && now.0.is_multiple_of(100_000) {
                 let beat = beat(now, dispatcher);
                 member.handle(now, Input::Beat(process(dispatcher), beat), &mut out);
             }
         }
         for other in OTHERS.chain(23..=24) {
-            if now < cut && now.0 % 500_000 == 0 {
+            if now < cut && now.0.is_multiple_of(500_000) {
                 member.handle(now, Input::Beat(process(other), beat(now, other)), &mut out);
             }
         }
@@ -119,9 +158,66 @@
     }
     let expected: BTreeSet<_> = OTHERS.filter(|_| case.asked).collect();
     assert_eq!(asked, expected);
+    let mut others = OTHERS;
     let alive: BTreeSet<_> = member.peers().alive(now).map(|(id, _)| id.0).collect();
     assert!(
-        OTHERS.all(|other| alive.contains(&other) == case.alive),
+        others.all(|other| alive.contains(&other) == case.alive),
         "{alive:?}"
     );
 }
+
+/// Callers wait for seconds: their jobs go to a dispatcher that has been silent since it was heard last, as one that is
+/// heard rarely is known to be lost only after several of its heartbeats. It gets work only once it has answered.
+#[rstest]
+#[case::first_answers(&[2], &[2])]
+#[case::second_answers(&[22], &[22])]
+#[case::both_answer_and_one_is_nearer(&[2, 22], &[22])]
+fn work_goes_to_dispatchers_that_have_answered(#[case] answer: &[u32], #[case] gets: &[u32]) {
+    let mut now = Time(1_000_000);
+    let mut member = member(now);
+    let mut heard = Vec::new();
+    for instance in OTHERS.chain(DISPATCHERS) {
+        let rarely = Beat {
+            every: 500,
+            ..beat(now, instance)
+        };
+        member.handle(now, Input::Beat(process(instance), rarely), &mut heard);
+    }
+    let mut asked = BTreeSet::new();
+    let mut handed = BTreeSet::new();
+    for step in 0..40 {
+        now = now + STEP;
+        let mut out = std::mem::take(&mut heard);
+        member.handle(now, Input::Tick, &mut out);
+        if step >= 20 {
+            let job = job(u64::from(step as u32));
+            member.handle(now, Input::Submit(CallerId(job.id.0), job), &mut out);
+        }
+        for output in out {
+            let Output::Send(to, msg) = output else {
+                continue;
+            };
+            if matches!(&msg, FleetMsg::Beat(sent) if sent.probe) {
+                asked.insert(to.0);
+            }
+            if matches!(msg, FleetMsg::Work(WorkMsg::Submit(_))) {
+                handed.insert(to.0);
+            }
+        }
+        for instance in answer.iter().filter(|instance| asked.contains(*instance)) {
+            let beat = beat(now, *instance);
+            member.handle(now, Input::Beat(process(*instance), beat), &mut Vec::new());
+        }
+    }
+    assert!(
+        DISPATCHERS
+            .iter()
+            .all(|dispatcher| asked.contains(dispatcher))
+    );
+    assert_eq!(handed.into_iter().collect::<Vec<_>>(), gets);
+    let still = DISPATCHERS.into_iter().filter(|dispatcher| {
+        let view = member.peers().get(InstanceId(*dispatcher));
+        view.is_some_and(|view| view.alive(now))
+    });
+    assert_eq!(still.collect::<Vec<_>>(), answer);
+}
