--- a/crates/celerywinch_links/src/outgoing.rs
+++ b/crates/celerywinch_links/src/outgoing.rs
@@ -8,13 +8,12 @@
 
 use anyhow::{Context, bail};
 use bytes::BytesMut;
-use celerywinch_types::{InstanceId, score};
+use celerywinch_types::InstanceId;
 use h2::client::{Connection, SendRequest};
 use h2::{Ping, PingPong, SendStream};
 use http::{Method, Request};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::sync::mpsc::error::TryRecvError;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::{sleep, timeout};
 
@@ -28,13 +27,8 @@
 /// back must be given up, or a peer is found up to that time later than it could be. Opening one
 /// takes 10 ms between data centres, and tens of ms on a small machine that is busy.
 const CONNECT: Duration = Duration::from_millis(300);
-/// Between two attempts while there is something to send.
+/// Between two attempts.
 const PAUSE: Duration = Duration::from_millis(100);
-/// Between two attempts while there is nothing, up to twice that, each link after another time. Of 151 links of a process
-/// a tenth are in constant use. As a data centre with 30 of 150 processes was cut off, each of them tried to open 120
-/// links ten times a second, with half of the processor time that it has; and when the cut healed, all links opened at
-/// once, and two thirds of the callers of the next second were answered late or not at all.
-const IDLE_PAUSE: Duration = Duration::from_millis(600);
 /// Between two pings on a link in use, at least, ...
 const PING_EVERY: Duration = Duration::from_millis(300);
 /// ... and so much for each link of the process: with 150 links and a third of them in use, 70 pings a second and their
@@ -123,31 +117,16 @@
         }
     }
 
-    /// Waits for the next attempt; false if the link is closed. Drops what cannot be sent: it would arrive too late to
-    /// be of use, and in a flood.
+    /// Drops what cannot be sent: it would arrive too late to be of use, and in a flood.
     async fn pause(&self, inbox: &mut UnboundedReceiver<LinkMsg<M>>) -> bool {
         sleep(PAUSE).await;
-        let mut used = false;
         loop {
             match inbox.try_recv() {
-                Ok(_) => used = true,
-                Err(TryRecvError::Empty) => break,
-                Err(TryRecvError::Disconnected) => return false,
+                Ok(_) => {}
+                Err(tokio::sync::mpsc::error::TryRecvError::Empty) => return true,
+                Err(tokio::sync::mpsc::error::TryRecvError::Disconnected) => return false,
             }
         }
-        if used {
-            return true;
-        }
-        match timeout(self.idle_pause(), inbox.recv()).await {
-            Ok(msg) => msg.is_some(),
-            Err(_) => true,
-        }
-    }
-
-    fn idle_pause(&self) -> Duration {
-        let me = self.config.me.instance;
-        let drawn = score(me.0.into(), self.peer.0.into()) % 1_000;
-        IDLE_PAUSE.mul_f64(1.0 + drawn as f64 / 1e3)
     }
 
     async fn open(&self) -> anyhow::Result<Open> {
