--- a/crates/celerywinch/src/commands/soak.rs
+++ b/crates/celerywinch/src/commands/soak.rs
@@ -16,7 +16,7 @@
     run,
 };
 
-const BRIEF: &str = "Usage: celerywinch soak [--seed N] [--steps M] [--calm] [--store]\n       celerywinch soak --members [--seed N] [--runs M] [--held]\n                                  [--congested] [--refused] [--drift] [--without NAMES]\n\n\
+const BRIEF: &str = "Usage: celerywinch soak [--seed N] [--steps M] [--calm] [--store]\n       celerywinch soak --members [--seed N] [--runs M] [--held]\n                                  [--congested] [--refused] [--drift] [--many]\n                                  [--without NAMES]\n\n\
     Drives the entries' state machines with a virtual clock under lost, doubled, delayed and\n\
     reordered messages, deaths, freezes, cuts and lost memory. One seed gives one run.\n\
     Prints `steps=… starts=… violations=…` last and exits 1 on a violation.";
@@ -28,6 +28,11 @@
 /// The most workers of a dispatcher, of 48: one for all, or several that hand on what finds no room.
 const MEMBERS_SHARDS: [usize; 3] = [80, 8, 16];
 
+/// Entries of a run of members: all hear each other often, or only those do that work with each other.
+const FEW_ENTRIES: u32 = 7;
+const MANY_ENTRIES: u32 = 24;
+/// The most workers of a dispatcher where there are many entries: eight or four dispatch, of whom an origin uses six.
+const MANY_SHARDS: [usize; 3] = [6, 6, 12];
 /// The same in a run with congested paths: 4 s of the usual load, then a lull in which most workers
 /// are idle for longer than the 20 s after which a silent worker is forgotten; twice, and 4 s at the end.
 const CONGESTED_LOAD: u64 = 64_000;
@@ -83,6 +88,11 @@
         "drift",
         "with --members: steady clocks of workers are up to 2% slow",
     );
+    options.optflag(
+        "",
+        "many",
+        "with --members: so many entries that most hear each other rarely",
+    );
     options.optopt(
         "",
         "without",
@@ -109,6 +119,7 @@
             congested: matches.opt_present("congested"),
             refused: matches.opt_present("refused"),
             drift: matches.opt_present("drift"),
+            many: matches.opt_present("many"),
             without: matches.opt_str("without").unwrap_or_default().parse()?,
         };
         return Ok(members(seed, runs, kinds, job));
@@ -162,6 +173,7 @@
     congested: bool,
     refused: bool,
     drift: bool,
+    many: bool,
     without: Without,
 }
 
@@ -183,12 +195,21 @@
         calm: LULL_CALM,
         factor: LULL_LOADS[(seed / 4 % LULL_LOADS.len() as u64) as usize],
     };
+    let shards = if kinds.many {
+        MANY_SHARDS
+    } else {
+        MEMBERS_SHARDS
+    };
     members::MembersOptions {
         seed,
         dcs: 3,
-        entries: 7,
+        entries: if kinds.many {
+            MANY_ENTRIES
+        } else {
+            FEW_ENTRIES
+        },
         workers: 48,
-        shard: MEMBERS_SHARDS[(seed % MEMBERS_SHARDS.len() as u64) as usize],
+        shard: shards[(seed % shards.len() as u64) as usize],
         without: kinds.without,
         link: None,
         length: if kinds.congested {
