--- a/crates/celerywinch_bench/src/members/workers.rs
+++ b/crates/celerywinch_bench/src/members/workers.rs
@@ -4,7 +4,9 @@
 
 use celerywinch_pool::{Answer, Call, Order};
 use celerywinch_standin::{Health, LeasedWorker, Ran};
-use celerywinch_types::{DataCentreId, FleetMsg, Room, TaskId, Time, WorkerNote, WorkerStage};
+use celerywinch_types::{
+    DataCentreId, FleetMsg, Incarnation, Room, TaskId, Time, WorkerNote, WorkerStage,
+};
 use rand::Rng;
 
 use super::wire::{size_of_answer, size_of_order};
@@ -88,6 +90,7 @@
         let host = &self.workers[index];
         WorkerNote {
             id: host.worker.id.clone(),
+            incarnation: Incarnation(host.lives.into()),
             service: "catalogue".to_owned(),
             addr: ([127, 0, 0, 1], 1 + index as u16).into(),
             dc: DataCentreId(host.dc),
--- a/crates/celerywinch_fleet/src/core.rs
+++ b/crates/celerywinch_fleet/src/core.rs
@@ -18,7 +18,7 @@
 use celerywinch_pool::{Answer, CallKey, PoolConfig};
 use celerywinch_registry::Held;
 use celerywinch_types::{
-    FleetMsg, Incarnation, InstanceId, JobEnd, Part, Process, Time, WorkerNote,
+    FleetMsg, Incarnation, InstanceId, JobEnd, Part, Process, Time, WorkerNote, WorkerStage,
 };
 use serde::Serialize;
 use tokio::net::TcpListener;
@@ -29,7 +29,7 @@
 use crate::journal::{Journal, Kind};
 use crate::links::{self, LinkHost, Links};
 use crate::metrics::Metrics;
-use crate::roster::Roster;
+use crate::roster::{Heard, Roster};
 use crate::spread::{Spread, SpreadInput, Told};
 use crate::store::{self, StoreIn, StoreOut};
 use crate::{Clock, Fleet, FleetConfig, Port};
@@ -102,10 +102,19 @@
     },
     Announced {
         worker: String,
-        stage: celerywinch_types::WorkerStage,
+        incarnation: Incarnation,
+        stage: WorkerStage,
         sequence: u64,
         known: usize,
     },
+    /// An announcement that changes nothing here, as the worker has said something later.
+    NotTaken {
+        worker: String,
+        incarnation: Incarnation,
+        stage: WorkerStage,
+        sequence: u64,
+        heard: Heard,
+    },
     Keeper {
         role: String,
         term: u64,
--- a/crates/celerywinch_fleet/src/core/keeping.rs
+++ b/crates/celerywinch_fleet/src/core/keeping.rs
@@ -6,6 +6,7 @@
 
 use super::{Core, CoreNote};
 use crate::journal::Kind;
+use crate::roster::Heard;
 use crate::spread::{SpreadInput, SpreadOutput};
 use crate::store::{StoreIn, StoreOut};
 
@@ -109,18 +110,32 @@
         let entries = self.entries(now);
         let known = self.roster.len();
         let (worker, stage, sequence) = (note.id.clone(), note.stage, note.sequence);
-        if self.roster.heard(now, note.clone()) {
-            self.untold.push(note);
-            // One that leaves is acknowledged with this, and its dispatcher has to know.
-            if stage != WorkerStage::Ready {
-                self.tell_workers(now);
+        let incarnation = note.incarnation;
+        let heard = self.roster.heard(now, note.clone());
+        self.metrics.announced(heard);
+        match heard {
+            Heard::News => {
+                self.untold.push(note);
+                // One that leaves is acknowledged with this, and its dispatcher has to know.
+                if stage != WorkerStage::Ready {
+                    self.tell_workers(now);
+                }
+                self.note(&CoreNote::Announced {
+                    worker,
+                    incarnation,
+                    stage,
+                    sequence,
+                    known,
+                });
             }
-            self.note(&CoreNote::Announced {
+            Heard::Nothing => {}
+            Heard::Late(_) | Heard::Left => self.note(&CoreNote::NotTaken {
                 worker,
+                incarnation,
                 stage,
                 sequence,
-                known,
-            });
+                heard,
+            }),
         }
         // One that leaves goes on to serve until it is acknowledged.
         stage == WorkerStage::Ready || !entries.is_empty()
--- a/crates/celerywinch_fleet/src/lib.rs
+++ b/crates/celerywinch_fleet/src/lib.rs
@@ -21,5 +21,5 @@
 pub use config::{FleetConfig, Port};
 pub use core::start;
 pub use handle::{Fleet, Submitted};
-pub use roster::Roster;
+pub use roster::{Heard, Roster};
 pub use spread::{Spread, SpreadInput, SpreadNote, SpreadOutput, Told};
--- a/crates/celerywinch_fleet/src/metrics.rs
+++ b/crates/celerywinch_fleet/src/metrics.rs
@@ -9,6 +9,7 @@
 use celerywinch_types::{FleetMsg, JobEnd, SpreadMsg};
 use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
 
+use crate::roster::Heard;
 use crate::spread::SpreadNote;
 
 /// Bounds of the time to an answer, in seconds: objectives are 0.1 to a few s.
@@ -44,6 +45,7 @@
     messages: IntCounterVec,
     message_bytes: IntCounterVec,
     worker_calls: IntCounterVec,
+    announced: IntCounterVec,
     pub(crate) late_answers: IntCounter,
     documents: IntCounter,
     document_bytes: IntCounter,
@@ -85,6 +87,11 @@
                 "Calls to workers, by kind.",
                 "kind",
             )?,
+            announced: meter.family(
+                "announcements_total",
+                "Announcements of workers, by what they changed.",
+                "what",
+            )?,
             late_answers: meter.counter(
                 "late_answers_total",
                 "Answers of workers that came after they were waited for.",
@@ -108,6 +115,17 @@
         })
     }
 
+    /// A worker has announced itself.
+    pub(crate) fn announced(&self, heard: Heard) {
+        let what = match heard {
+            Heard::News => "news",
+            Heard::Nothing => "nothing",
+            Heard::Late(_) => "late",
+            Heard::Left => "left",
+        };
+        self.announced.with_label_values(&[what]).inc();
+    }
+
     pub(crate) fn dispatched(&self, note: &Note) {
         match note {
             Note::RunEnded { how, .. } => self.runs.with_label_values(&[*how]).inc(),
--- a/crates/celerywinch_fleet/src/roster.rs
+++ b/crates/celerywinch_fleet/src/roster.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use celerywinch_types::{Time, WorkerNote, WorkerStage};
+use serde::Serialize;
 
 /// A worker that did not announce itself for this long is forgotten by its keeper. Dispatchers find
 /// out by themselves; this only bounds the list.
@@ -21,6 +22,20 @@
     heard: Time,
 }
 
+/// What an announcement changes here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Heard {
+    /// The others have to hear of it.
+    News,
+    /// Nothing but that the worker is there.
+    Nothing,
+    /// It is not taken, as a later one with this number is known.
+    Late(u64),
+    /// It is not taken, as the worker has left.
+    Left,
+}
+
 /// The workers that announce themselves here.
 #[derive(Debug, Default)]
 pub struct Roster {
@@ -31,25 +46,25 @@
 }
 
 impl Roster {
-    /// Takes an announcement; true if the others have to hear of it.
-    pub fn heard(&mut self, now: Time, note: WorkerNote) -> bool {
+    /// Takes an announcement.
+    pub fn heard(&mut self, now: Time, note: WorkerNote) -> Heard {
         let Some(known) = self.workers.get_mut(&note.id) else {
             let name = note.id.clone();
             self.workers.insert(name, Known { note, heard: now });
             self.changed = true;
-            return true;
+            return Heard::News;
         };
         known.heard = now;
         if known.note.stage == WorkerStage::Gone {
-            return false;
+            return Heard::Left;
         }
         if note.stage != WorkerStage::Gone && note.sequence <= known.note.sequence {
-            return false;
+            return Heard::Late(known.note.sequence);
         }
         let news = differs(&known.note, &note);
         self.changed |= news;
         known.note = note;
-        news
+        if news { Heard::News } else { Heard::Nothing }
     }
 
     /// A worker says that it leaves.
--- a/crates/celerywinch_fleet/tests/roster.rs
+++ b/crates/celerywinch_fleet/tests/roster.rs
@@ -2,12 +2,13 @@
 
 use std::time::Duration;
 
-use celerywinch_fleet::Roster;
-use celerywinch_types::{DataCentreId, Room, Time, WorkerNote, WorkerStage};
+use celerywinch_fleet::{Heard, Roster};
+use celerywinch_types::{DataCentreId, Incarnation, Room, Time, WorkerNote, WorkerStage};
 
 fn note(id: &str, stage: WorkerStage, sequence: u64) -> WorkerNote {
     WorkerNote {
         id: id.to_owned(),
+        incarnation: Incarnation(1),
         service: "s".to_owned(),
         addr: ([127, 0, 0, 1], 1).into(),
         dc: DataCentreId(0),
@@ -55,6 +56,7 @@
     let now = Time(10_000_000);
     let mut roster = Roster::default();
     roster.heard(now, note("a", WorkerStage::Draining, 7));
-    assert!(!roster.heard(now, note("a", WorkerStage::Ready, 4)));
+    let heard = roster.heard(now, note("a", WorkerStage::Ready, 4));
+    assert_eq!(heard, Heard::Late(7));
     assert_eq!(roster.all()[0].stage, WorkerStage::Draining);
 }
--- a/crates/celerywinch_member/tests/idle.rs
+++ b/crates/celerywinch_member/tests/idle.rs
@@ -39,6 +39,7 @@
 fn worker(index: u16) -> WorkerNote {
     WorkerNote {
         id: format!("w{index}"),
+        incarnation: Incarnation(1),
         service: "s".to_owned(),
         addr: ([127, 0, 0, 1], index).into(),
         dc: FAR,
--- a/crates/celerywinch_member/tests/origins.rs
+++ b/crates/celerywinch_member/tests/origins.rs
@@ -239,6 +239,7 @@
     };
     let worker = WorkerNote {
         id: "w1".to_owned(),
+        incarnation: Incarnation(1),
         service: "s".to_owned(),
         addr: ([127, 0, 0, 1], 1).into(),
         dc: DC,
--- a/crates/celerywinch_pool/tests/rig/mod.rs
+++ b/crates/celerywinch_pool/tests/rig/mod.rs
@@ -36,6 +36,7 @@
 pub(crate) fn note(id: &str, port: u16) -> WorkerNote {
     WorkerNote {
         id: id.to_owned(),
+        incarnation: Incarnation(1),
         service: "s".to_owned(),
         addr: ([127, 0, 0, 1], port).into(),
         dc: DC,
--- a/crates/celerywinch_types/src/work.rs
+++ b/crates/celerywinch_types/src/work.rs
@@ -93,8 +93,10 @@
 
     /// What a worker says of itself.
     pub struct WorkerNote {
-        /// Names one life of the worker.
+        /// Its name, which it keeps when it starts again.
         pub id: String,
+        /// Which of its lives speaks: ms since 1970 at its start, by its own clock; 0 where it does not say.
+        pub incarnation: crate::Incarnation,
         /// The service whose tasks it runs.
         pub service: String,
         /// Where it takes orders.
