--- a/crates/celerywinch_fleet/tests/roster.rs
+++ b/crates/celerywinch_fleet/tests/roster.rs
@@ -60,3 +60,35 @@
     assert_eq!(heard, Heard::Late(7));
     assert_eq!(roster.all()[0].stage, WorkerStage::Draining);
 }
+
+/// Callers' tasks reach a worker that has said that it leaves, for as long as it goes on: it has crashed before, and started
+/// again under its name. Its announcements are counted anew; the notice has a lower number than those of the life before, and
+/// is acknowledged as a late one of that, without being told to any dispatcher.
+#[test]
+fn notice_of_a_later_life_is_taken() {
+    let now = Time(10_000_000);
+    let mut roster = Roster::default();
+    roster.heard(now, note("a", WorkerStage::Ready, 1));
+    roster.heard(now, note("a", WorkerStage::Ready, 20));
+    let leaves = WorkerNote {
+        incarnation: Incarnation(2),
+        ..note("a", WorkerStage::Draining, 3)
+    };
+    assert_eq!(roster.heard(now, leaves), Heard::News);
+    assert_eq!(roster.all()[0].stage, WorkerStage::Draining);
+}
+
+/// A worker that has left, and starts again under its name, gets no work for as long as it announces itself: the keeper that
+/// it told remembers that it has left.
+#[test]
+fn later_life_of_a_worker_that_has_left_is_taken() {
+    let now = Time(10_000_000);
+    let mut roster = Roster::default();
+    roster.heard(now, note("a", WorkerStage::Ready, 7));
+    roster.left(now, "a");
+    let again = WorkerNote {
+        incarnation: Incarnation(2),
+        ..note("a", WorkerStage::Ready, 1)
+    };
+    assert_eq!(roster.heard(now, again), Heard::News);
+}
--- /dev/null
+++ b/crates/celerywinch_pool/tests/lives.rs
@@ -0,0 +1,131 @@
+//! Workers that start again under the name that they had.
+
+mod rig;
+
+use celerywinch_pool::{Answer, EndedRow, How, Input};
+use celerywinch_types::{Doubt, Incarnation, JobId, TaskEnd, TaskId, WorkerNote, WorkerStage};
+use rig::{Rig, clock, ended, is_look, is_start, lists, note, row, step, task};
+use rstest::rstest;
+
+const LATER_JOB: JobId = JobId(78);
+
+/// The second life of the worker that the rig has.
+fn second_life() -> WorkerNote {
+    WorkerNote {
+        incarnation: Incarnation(2),
+        ..note("w1", 1)
+    }
+}
+
+/// A caller's task is done, and done again, up to six times: a worker crashes and starts again under its name. The numbers
+/// of its ends start anew, and its dispatcher skips all that are not higher than the last one it has read. The run is
+/// not listed as at work either, so it counts as cut, and the task is started again.
+#[test]
+fn ends_of_a_later_life_are_counted_anew() {
+    let mut rig = Rig::new(Vec::new(), Vec::new());
+    rig.submit(step(Doubt::None, 0));
+    let start = rig.last(is_start);
+    rig.answer(&start, Answer::Taken(clock()));
+    let look = rig.last(is_look);
+    rig.answer(&look, lists(Vec::new(), vec![ended(1, How::Done)]));
+    assert_eq!(rig.told, [(task(0), TaskEnd::Done)]);
+    rig.take(Input::Workers(vec![second_life()]));
+    let look = rig.last(is_look);
+    rig.answer(&look, lists(Vec::new(), Vec::new()));
+    let mut order = step(Doubt::None, 0);
+    order.job = LATER_JOB;
+    rig.submit(order);
+    let start = rig.last(is_start);
+    rig.answer(&start, Answer::Taken(clock()));
+    let later = TaskId {
+        job: LATER_JOB,
+        ..task(0)
+    };
+    let first_end = EndedRow {
+        task: later,
+        ..ended(1, How::Done)
+    };
+    let starts = rig.count(is_start);
+    for _ in 0..10 {
+        let look = rig.last(is_look);
+        rig.answer(&look, lists(Vec::new(), vec![first_end]));
+        rig.wait(20);
+    }
+    assert_eq!(rig.told.last(), Some(&(later, TaskEnd::Done)));
+    assert_eq!(rig.count(is_start), starts, "it is not started again");
+}
+
+/// A caller's task waits for 0.9 s though its worker has ended and is back: what was at work in the earlier life is over as soon
+/// as the later one lists what it has, not when a lease of the earlier one would be.
+#[test]
+fn runs_of_an_earlier_life_are_over_with_it() {
+    let mut rig = Rig::new(Vec::new(), Vec::new());
+    rig.submit(step(Doubt::None, 0));
+    let start = rig.last(is_start);
+    rig.answer(&start, Answer::Taken(clock()));
+    let look = rig.last(is_look);
+    rig.answer(&look, lists(vec![row(1)], Vec::new()));
+    rig.take(Input::Workers(vec![second_life()]));
+    let look = rig.last(is_look);
+    rig.answer(&look, lists(Vec::new(), Vec::new()));
+    rig.wait(20);
+    assert_eq!(rig.count(is_start), 2, "started again at once");
+}
+
+/// An announcement and what the dispatcher heard before it.
+struct Case {
+    /// Life and number of what was heard first: that the worker is ready.
+    first: (u64, u64),
+    /// Life, number and stage of what is heard then.
+    then: (u64, u64, WorkerStage),
+    /// Whether the worker gets a task afterwards.
+    works: bool,
+}
+
+fn said(incarnation: u64, sequence: u64, stage: WorkerStage) -> WorkerNote {
+    WorkerNote {
+        incarnation: Incarnation(incarnation),
+        sequence,
+        stage,
+        ..note("w1", 1)
+    }
+}
+
+/// A caller's task reaches a worker that has said that it leaves, as the dispatcher compares numbers of two lives of it; or
+/// a worker that is back gets none, as what an earlier life has said counts against it.
+#[rstest]
+#[case::leaves(Case { first: (1, 20), then: (1, 21, WorkerStage::Draining), works: false })]
+#[case::later_life_leaves(Case { first: (1, 20), then: (2, 3, WorkerStage::Draining), works: false })]
+#[case::late_word_of_the_same_life(Case { first: (1, 20), then: (1, 3, WorkerStage::Draining), works: true })]
+#[case::late_word_of_an_earlier_life(Case { first: (2, 3), then: (1, 20, WorkerStage::Draining), works: true })]
+#[case::earlier_life_has_left(Case { first: (2, 3), then: (1, 20, WorkerStage::Gone), works: true })]
+#[case::later_life_has_left(Case { first: (1, 20), then: (2, 3, WorkerStage::Gone), works: false })]
+fn words_of_lives_are_told_apart(#[case] case: Case) {
+    let mut rig = Rig::new(Vec::new(), Vec::new());
+    rig.take(Input::Workers(vec![said(
+        case.first.0,
+        case.first.1,
+        WorkerStage::Ready,
+    )]));
+    let (incarnation, sequence, stage) = case.then;
+    rig.take(Input::Workers(vec![said(incarnation, sequence, stage)]));
+    let look = rig.last(is_look);
+    rig.answer(&look, lists(Vec::new(), Vec::new()));
+    rig.submit(step(Doubt::None, 0));
+    assert_eq!(rig.count(is_start) == 1, case.works);
+}
+
+/// A worker that has left and starts again gets no work for 30 s, though it serves and callers are refused.
+#[test]
+fn worker_that_has_left_may_come_back() {
+    let mut rig = Rig::new(Vec::new(), Vec::new());
+    rig.take(Input::Workers(vec![said(1, 9, WorkerStage::Gone)]));
+    rig.take(Input::Workers(vec![said(1, 8, WorkerStage::Ready)]));
+    assert_eq!(
+        rig.pool.known_workers(),
+        0,
+        "late word of the life that has left"
+    );
+    rig.take(Input::Workers(vec![second_life()]));
+    assert_eq!(rig.pool.known_workers(), 1);
+}
