What a worker says is ordered by its life, and a later life has a key of its own

Callers' tasks reached workers that had said that they leave, and tasks that were done ran again, up to six times. Cause: announcements and ends were told apart by numbers that begin anew with each start of a worker, under a name that it keeps. A keeper took the notice of a later life for a late one of the earlier, and acknowledged it without telling anybody; a dispatcher skipped ends as read before. Class: state that belongs to one life of a peer, kept under a name that outlives it. Now the life comes first in the order (Said), the dispatcher has a key for each life, and no answer to a call that was sent to an earlier life counts. An acknowledgement says that the notice was taken. Holds as numbers of two lives can no longer be compared: the type has one order.

--- a/crates/celerywinch_bench/src/members/workers.rs
+++ b/crates/celerywinch_bench/src/members/workers.rs
@@ -5,7 +5,7 @@
 use celerywinch_pool::{Answer, Call, Order};
 use celerywinch_standin::{Health, LeasedWorker, Ran};
 use celerywinch_types::{
-    DataCentreId, FleetMsg, Incarnation, Room, TaskId, Time, WorkerNote, WorkerStage,
+    DataCentreId, FleetMsg, Incarnation, Room, Said, TaskId, Time, WorkerNote, WorkerStage,
 };
 use rand::Rng;
 
@@ -90,14 +90,16 @@
         let host = &self.workers[index];
         WorkerNote {
             id: host.worker.id.clone(),
-            incarnation: Incarnation(host.lives.into()),
             service: "catalogue".to_owned(),
             addr: ([127, 0, 0, 1], 1 + index as u16).into(),
             dc: DataCentreId(host.dc),
             room: host.worker.room,
             labels: Vec::new(),
             stage: WorkerStage::Ready,
-            sequence: 1,
+            said: Said {
+                incarnation: Incarnation(host.lives.into()),
+                sequence: 1,
+            },
         }
     }
 
--- a/crates/celerywinch_fleet/src/core.rs
+++ b/crates/celerywinch_fleet/src/core.rs
@@ -18,7 +18,7 @@
 use celerywinch_pool::{Answer, CallKey, PoolConfig};
 use celerywinch_registry::Held;
 use celerywinch_types::{
-    FleetMsg, Incarnation, InstanceId, JobEnd, Part, Process, Time, WorkerNote, WorkerStage,
+    FleetMsg, Incarnation, InstanceId, JobEnd, Part, Process, Said, Time, WorkerNote, WorkerStage,
 };
 use serde::Serialize;
 use tokio::net::TcpListener;
@@ -102,17 +102,15 @@
     },
     Announced {
         worker: String,
-        incarnation: Incarnation,
+        said: Said,
         stage: WorkerStage,
-        sequence: u64,
         known: usize,
     },
     /// An announcement that changes nothing here, as the worker has said something later.
     NotTaken {
         worker: String,
-        incarnation: Incarnation,
+        said: Said,
         stage: WorkerStage,
-        sequence: u64,
         heard: Heard,
     },
     Keeper {
--- a/crates/celerywinch_fleet/src/core/keeping.rs
+++ b/crates/celerywinch_fleet/src/core/keeping.rs
@@ -105,40 +105,41 @@
         let _ = waiting.send(held);
     }
 
-    /// Takes a worker's announcement; false if no dispatcher would hear of it.
+    /// Takes a worker's announcement; false if it is not to be acknowledged.
+    ///
+    /// A worker that leaves goes on to serve until its notice is acknowledged, and then counts on it that nothing more is started
+    /// there. So an acknowledgement says that the notice was taken, and that there are dispatchers which were told.
     pub(super) fn announced(&mut self, now: Time, note: WorkerNote) -> bool {
-        let entries = self.entries(now);
+        let (worker, stage, said) = (note.id.clone(), note.stage, note.said);
         let known = self.roster.len();
-        let (worker, stage, sequence) = (note.id.clone(), note.stage, note.sequence);
-        let incarnation = note.incarnation;
         let heard = self.roster.heard(now, note.clone());
         self.metrics.announced(heard);
+        let tells = matches!(heard, Heard::News | Heard::OtherLife(_));
+        if tells {
+            self.untold.push(note);
+            if stage != WorkerStage::Ready {
+                self.tell_workers(now);
+            }
+        }
+        let taken = tells || self.roster.leaves(&worker);
         match heard {
-            Heard::News => {
-                self.untold.push(note);
-                // One that leaves is acknowledged with this, and its dispatcher has to know.
-                if stage != WorkerStage::Ready {
-                    self.tell_workers(now);
-                }
-                self.note(&CoreNote::Announced {
+            Heard::News => self.note(&CoreNote::Announced {
+                worker,
+                said,
+                stage,
+                known,
+            }),
+            Heard::Nothing => {}
+            Heard::Late(_) | Heard::OtherLife(_) | Heard::Left => {
+                self.note(&CoreNote::NotTaken {
                     worker,
-                    incarnation,
+                    said,
                     stage,
-                    sequence,
-                    known,
+                    heard,
                 });
             }
-            Heard::Nothing => {}
-            Heard::Late(_) | Heard::Left => self.note(&CoreNote::NotTaken {
-                worker,
-                incarnation,
-                stage,
-                sequence,
-                heard,
-            }),
         }
-        // One that leaves goes on to serve until it is acknowledged.
-        stage == WorkerStage::Ready || !entries.is_empty()
+        stage == WorkerStage::Ready || (taken && !self.entries(now).is_empty())
     }
 
     /// Tells the entries of the workers that have come or changed since the last time. With one message for each, 1,100
--- a/crates/celerywinch_fleet/src/metrics.rs
+++ b/crates/celerywinch_fleet/src/metrics.rs
@@ -121,6 +121,7 @@
             Heard::News => "news",
             Heard::Nothing => "nothing",
             Heard::Late(_) => "late",
+            Heard::OtherLife(_) => "other_life",
             Heard::Left => "left",
         };
         self.announced.with_label_values(&[what]).inc();
--- a/crates/celerywinch_fleet/src/roster.rs
+++ b/crates/celerywinch_fleet/src/roster.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use celerywinch_types::{Time, WorkerNote, WorkerStage};
+use celerywinch_types::{Said, Time, WorkerNote, WorkerStage};
 use serde::Serialize;
 
 /// A worker that did not announce itself for this long is forgotten by its keeper. Dispatchers find
@@ -30,9 +30,12 @@
     News,
     /// Nothing but that the worker is there.
     Nothing,
-    /// It is not taken, as a later one with this number is known.
-    Late(u64),
-    /// It is not taken, as the worker has left.
+    /// It is not taken, as this later one is known.
+    Late(Said),
+    /// The same of a life that counts as an earlier one. The others hear of it all the same: if the worker's clock was set
+    /// back between two starts it is the later one, which only the worker itself can show.
+    OtherLife(Said),
+    /// It is not taken, as this life has left.
     Left,
 }
 
@@ -54,12 +57,17 @@
             self.changed = true;
             return Heard::News;
         };
-        known.heard = now;
-        if known.note.stage == WorkerStage::Gone {
+        let last = known.note.said;
+        if note.said.incarnation < last.incarnation {
+            return Heard::OtherLife(last);
+        }
+        let same_life = note.said.incarnation == last.incarnation;
+        if same_life && known.note.stage == WorkerStage::Gone {
             return Heard::Left;
         }
-        if note.stage != WorkerStage::Gone && note.sequence <= known.note.sequence {
-            return Heard::Late(known.note.sequence);
+        known.heard = now;
+        if same_life && note.said <= last {
+            return Heard::Late(last);
         }
         let news = differs(&known.note, &note);
         self.changed |= news;
@@ -76,6 +84,13 @@
         Some(known.note.clone())
     }
 
+    /// Whether a worker is known to leave, or to have left.
+    #[must_use]
+    pub fn leaves(&self, id: &str) -> bool {
+        let known = self.workers.get(id);
+        known.is_some_and(|known| known.note.stage != WorkerStage::Ready)
+    }
+
     /// Forgets those that were not heard for long.
     pub fn forget(&mut self, now: Time) {
         self.workers.retain(|_, known| {
@@ -122,9 +137,9 @@
 
 /// Whether something changed but the count of announcements.
 fn differs(a: &WorkerNote, b: &WorkerNote) -> bool {
-    let same = WorkerNote {
-        sequence: a.sequence,
-        ..b.clone()
+    let said = Said {
+        sequence: a.said.sequence,
+        ..b.said
     };
-    *a != same
+    *a != WorkerNote { said, ..b.clone() }
 }
--- a/crates/celerywinch_fleet/tests/roster.rs
+++ b/crates/celerywinch_fleet/tests/roster.rs
@@ -3,19 +3,25 @@
 use std::time::Duration;
 
 use celerywinch_fleet::{Heard, Roster};
-use celerywinch_types::{DataCentreId, Incarnation, Room, Time, WorkerNote, WorkerStage};
+use celerywinch_types::{DataCentreId, Incarnation, Room, Said, Time, WorkerNote, WorkerStage};
+
+fn said(incarnation: u64, sequence: u64) -> Said {
+    Said {
+        incarnation: Incarnation(incarnation),
+        sequence,
+    }
+}
 
 fn note(id: &str, stage: WorkerStage, sequence: u64) -> WorkerNote {
     WorkerNote {
         id: id.to_owned(),
-        incarnation: Incarnation(1),
         service: "s".to_owned(),
         addr: ([127, 0, 0, 1], 1).into(),
         dc: DataCentreId(0),
         room: Room::default(),
         labels: Vec::new(),
         stage,
-        sequence,
+        said: said(1, sequence),
     }
 }
 
@@ -57,7 +63,7 @@
     let mut roster = Roster::default();
     roster.heard(now, note("a", WorkerStage::Draining, 7));
     let heard = roster.heard(now, note("a", WorkerStage::Ready, 4));
-    assert_eq!(heard, Heard::Late(7));
+    assert_eq!(heard, Heard::Late(said(1, 7)));
     assert_eq!(roster.all()[0].stage, WorkerStage::Draining);
 }
 
@@ -71,7 +77,7 @@
     roster.heard(now, note("a", WorkerStage::Ready, 1));
     roster.heard(now, note("a", WorkerStage::Ready, 20));
     let leaves = WorkerNote {
-        incarnation: Incarnation(2),
+        said: said(2, 3),
         ..note("a", WorkerStage::Draining, 3)
     };
     assert_eq!(roster.heard(now, leaves), Heard::News);
@@ -87,7 +93,7 @@
     roster.heard(now, note("a", WorkerStage::Ready, 7));
     roster.left(now, "a");
     let again = WorkerNote {
-        incarnation: Incarnation(2),
+        said: said(2, 1),
         ..note("a", WorkerStage::Ready, 1)
     };
     assert_eq!(roster.heard(now, again), Heard::News);
--- a/crates/celerywinch_member/tests/idle.rs
+++ b/crates/celerywinch_member/tests/idle.rs
@@ -6,8 +6,8 @@
 use celerywinch_member::{Input, Member, MemberConfig, Output};
 use celerywinch_pool::{Answer, Note, PoolConfig};
 use celerywinch_types::{
-    Beat, DataCentreId, Fence, Incarnation, InstanceId, Part, Process, Room, Stage, Time, WallMs,
-    WorkerClock, WorkerNote, WorkerStage,
+    Beat, DataCentreId, Fence, Incarnation, InstanceId, Part, Process, Room, Said, Stage, Time,
+    WallMs, WorkerClock, WorkerNote, WorkerStage,
 };
 
 const FAR: DataCentreId = DataCentreId(1);
@@ -39,14 +39,16 @@
 fn worker(index: u16) -> WorkerNote {
     WorkerNote {
         id: format!("w{index}"),
-        incarnation: Incarnation(1),
         service: "s".to_owned(),
         addr: ([127, 0, 0, 1], index).into(),
         dc: FAR,
         room: Room::default(),
         labels: Vec::new(),
         stage: WorkerStage::Ready,
-        sequence: 1,
+        said: Said {
+            incarnation: Incarnation(1),
+            sequence: 1,
+        },
     }
 }
 
--- a/crates/celerywinch_member/tests/origins.rs
+++ b/crates/celerywinch_member/tests/origins.rs
@@ -7,7 +7,7 @@
 use celerywinch_pool::{Answer, Call, EndedRow, How, Order, PoolConfig};
 use celerywinch_types::{
     Beat, DataCentreId, Doubt, Echo, Fence, FleetMsg, Incarnation, InstanceId, JobId, Part,
-    Process, Room, RunNumber, Session, Stage, StepOrder, TaskOrder, Time, WallMs, WorkMsg,
+    Process, Room, RunNumber, Said, Session, Stage, StepOrder, TaskOrder, Time, WallMs, WorkMsg,
     WorkerClock, WorkerNote, WorkerStage,
 };
 use rstest::rstest;
@@ -239,14 +239,16 @@
     };
     let worker = WorkerNote {
         id: "w1".to_owned(),
-        incarnation: Incarnation(1),
         service: "s".to_owned(),
         addr: ([127, 0, 0, 1], 1).into(),
         dc: DC,
         room,
         labels: Vec::new(),
         stage: WorkerStage::Ready,
-        sequence: 1,
+        said: Said {
+            incarnation: Incarnation(1),
+            sequence: 1,
+        },
     };
     let mut out = Vec::new();
     member.handle(now, Input::Version(1), &mut out);
--- a/crates/celerywinch_pool/src/call.rs
+++ b/crates/celerywinch_pool/src/call.rs
@@ -149,6 +149,15 @@
 
 /// What is remembered of a call.
 #[derive(Clone, Copy, Debug)]
+pub(crate) struct Sent {
+    /// The life that was called. Once another one is known no answer counts: it would tell of the clock, the runs and the fencing
+    /// token of one life as if they were those of the other.
+    pub(crate) worker: crate::worker::WorkerKey,
+    pub(crate) pending: Pending,
+}
+
+/// What a call was for.
+#[derive(Clone, Copy, Debug)]
 pub(crate) enum Pending {
     Start(crate::run::RunKey),
     Stop(crate::run::RunKey),
--- a/crates/celerywinch_pool/src/leases.rs
+++ b/crates/celerywinch_pool/src/leases.rs
@@ -155,7 +155,13 @@
         }
     }
 
-    fn lose_run(&mut self, now: Time, key: RunKey, how: &'static str, out: &mut Vec<Output>) {
+    pub(crate) fn lose_run(
+        &mut self,
+        now: Time,
+        key: RunKey,
+        how: &'static str,
+        out: &mut Vec<Output>,
+    ) {
         let Some(run) = self.release(key) else {
             return;
         };
--- a/crates/celerywinch_pool/src/lib.rs
+++ b/crates/celerywinch_pool/src/lib.rs
@@ -17,6 +17,7 @@
 mod inflow;
 mod job;
 mod leases;
+mod lives;
 mod note;
 mod origins;
 mod patience;
--- /dev/null
+++ b/crates/celerywinch_pool/src/lives.rs
@@ -0,0 +1,103 @@
+//! Workers that start again under the name that they had.
+//!
+//! Nothing of one life holds for another: its runs are over, its clock, its numbers of ends and the fencing token that it has
+//! seen begin anew. So each life has a key of its own, and what was asked of an earlier one is answered to nobody.
+
+use celerywinch_types::{Time, WorkerNote};
+
+use crate::call::RunningRow;
+use crate::pool::{Output, Pool};
+use crate::run::{Phase, Run, RunKey};
+use crate::worker::WorkerKey;
+use crate::{Departure, Note};
+
+impl Pool {
+    /// Another life of a worker has begun.
+    ///
+    /// An order that the earlier life did not answer may reach the later one, which obeys it. So its runs are not given up
+    /// before the later life has shown what it has: a task started elsewhere in between would run twice. That takes one
+    /// call; if the worker does not answer, as long as a task that may run anywhere waits.
+    pub(crate) fn replace_worker(
+        &mut self,
+        now: Time,
+        key: WorkerKey,
+        note: WorkerNote,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(mut earlier) = self.workers.remove(key) else {
+            return;
+        };
+        self.takeover.forget(key);
+        self.forget_addr(earlier.note.addr);
+        out.push(Output::Note(Note::WorkerGone {
+            worker: note.id.clone(),
+            why: Departure::OtherLife,
+            silent: now.since(earlier.heard).as_millis() as u32,
+            runs: earlier.runs.len(),
+        }));
+        let moved = earlier.note.addr != note.addr;
+        let runs = std::mem::take(&mut earlier.runs);
+        let later = self.add_worker(now, note, out);
+        self.workers[later].pace = earlier.pace;
+        for run in runs {
+            self.inherit(now, later, run, moved, out);
+        }
+    }
+
+    /// Leaves a run of an earlier life to the later one to settle. One that has moved can have got no order that was sent to where
+    /// the earlier one was.
+    fn inherit(
+        &mut self,
+        now: Time,
+        later: WorkerKey,
+        key: RunKey,
+        moved: bool,
+        out: &mut Vec<Output>,
+    ) {
+        let longest = now + self.config.limbo;
+        let Some(run) = self.runs.get_mut(key) else {
+            return;
+        };
+        run.worker = later;
+        run.phase = Phase::Starting;
+        (run.stopping, run.stopped) = (false, false);
+        let need = run.need;
+        let worker = &mut self.workers[later];
+        worker.runs.push(key);
+        worker.free = worker.free.less(need);
+        worker.lease = worker.lease.max(longest);
+        if moved {
+            self.lose_run(now, key, "gone", out);
+        }
+    }
+
+    /// The first list of a life shows which of the runs that were left to it are at work there; the others are over, and no order
+    /// for them is obeyed any more.
+    pub(crate) fn settle_inherited(
+        &mut self,
+        now: Time,
+        key: WorkerKey,
+        running: &[RunningRow],
+        out: &mut Vec<Output>,
+    ) {
+        for run in self.workers[key].runs.clone() {
+            let Run {
+                task,
+                number,
+                batch,
+                ..
+            } = self.runs[run];
+            let listed = running
+                .iter()
+                .any(|row| row.task == task && row.run == number);
+            if !listed {
+                self.lose_run(now, run, "gone", out);
+                continue;
+            }
+            self.set_phase(run, Phase::Running(self.inputs));
+            if batch.is_none() {
+                self.stop_run(now, run, out);
+            }
+        }
+    }
+}
--- a/crates/celerywinch_pool/src/pool.rs
+++ b/crates/celerywinch_pool/src/pool.rs
@@ -1,16 +1,17 @@
 //! The dispatcher's state and its inputs.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use celerywinch_types::{
-    Domain, Fence, InstanceId, JobId, Learned, Mechanism, RunNumber, TaskEnd, TaskId, TaskNews,
-    Time, WorkMsg, WorkerNote, WorkerStage,
+    Domain, Fence, Incarnation, InstanceId, JobId, Learned, Mechanism, RunNumber, TaskEnd, TaskId,
+    TaskNews, Time, WorkMsg, WorkerNote, WorkerStage,
 };
 use slotmap::SlotMap;
 
-use crate::call::{Answer, Call, CallKey, Order, Pending, Question};
+use crate::call::{Answer, Call, CallKey, Order, Pending, Question, Sent};
 use crate::grants::{Grant, Grants};
 use crate::inflow::Inflow;
 use crate::job::{Batch, BatchKey, TaskState};
@@ -27,6 +28,14 @@
 /// 20 s after its last announcement there, and a dispatcher that starts work there would break its leave.
 const REMEMBER_LEFT: Duration = Duration::from_secs(30);
 
+/// A worker that has left.
+#[derive(Clone, Copy, Debug)]
+struct Left {
+    /// The last of its lives that did.
+    life: Incarnation,
+    heard: Time,
+}
+
 /// What happened outside.
 #[derive(Clone, Debug)]
 pub enum Input {
@@ -76,14 +85,14 @@
     shards: u8,
     pub(crate) workers: SlotMap<WorkerKey, Worker>,
     pub(crate) names: BTreeMap<String, WorkerKey>,
-    /// Those that have left, and when that was heard.
-    left: BTreeMap<String, Time>,
+    /// Workers that have left.
+    left: BTreeMap<String, Left>,
     /// How many lives of workers are known at each address.
     pub(crate) addrs: BTreeMap<SocketAddr, usize>,
     pub(crate) batches: SlotMap<BatchKey, Batch>,
     pub(crate) jobs: BTreeMap<(JobId, u16), BatchKey>,
     pub(crate) runs: SlotMap<RunKey, Run>,
-    pub(crate) calls: SlotMap<CallKey, Pending>,
+    pub(crate) calls: SlotMap<CallKey, Sent>,
     pub(crate) queue: Queue,
     pub(crate) times: Times,
     /// What the answers of all workers took.
@@ -189,7 +198,11 @@
     #[must_use]
     pub fn is_idle(&self) -> bool {
         let settled = self.runs.is_empty() && self.batches.is_empty();
-        settled && self.calls.values().all(|call| self.is_routine(*call))
+        settled
+            && self
+                .calls
+                .values()
+                .all(|call| self.is_routine(call.pending))
     }
 
     /// Whether a call only asks an idle worker for a sign of life.
@@ -248,7 +261,7 @@
         self.shed(now, out);
         self.told.retain(|_, told| told.is_kept(now));
         self.left
-            .retain(|_, heard| now.since(*heard) <= REMEMBER_LEFT);
+            .retain(|_, left| now.since(left.heard) <= REMEMBER_LEFT);
     }
 
     fn work(&mut self, now: Time, from: InstanceId, msg: WorkMsg, out: &mut Vec<Output>) {
@@ -263,30 +276,45 @@
     }
 
     fn worker(&mut self, now: Time, note: WorkerNote, out: &mut Vec<Output>) {
-        let known = self.names.get(&note.id).copied();
-        if note.stage == WorkerStage::Gone {
-            self.left.insert(note.id, now);
-            if let Some(key) = known {
-                self.worker_leaves(now, key, out);
-            }
-            return;
+        let gone = note.stage == WorkerStage::Gone;
+        if gone {
+            self.remember_left(now, &note);
         }
-        if self.left.contains_key(&note.id) {
-            return;
-        }
-        let Some(key) = known else {
-            self.add_worker(now, note, out);
+        let Some(key) = self.names.get(&note.id).copied() else {
+            let left = self.left.get(&note.id);
+            let has_left = left.is_some_and(|left| note.said.incarnation <= left.life);
+            if !gone && !has_left {
+                self.add_worker(now, note, out);
+            }
             return;
         };
+        let known = self.workers[key].note.said;
+        match note.said.incarnation.cmp(&known.incarnation) {
+            Ordering::Less => {}
+            Ordering::Equal if gone => self.worker_leaves(now, key, out),
+            // A late announcement must not bring an earlier state back.
+            Ordering::Equal if note.said <= known => {}
+            Ordering::Equal => self.update_worker(key, note),
+            Ordering::Greater => self.replace_worker(now, key, note, out),
+        }
+    }
+
+    fn remember_left(&mut self, now: Time, note: &WorkerNote) {
+        let life = note.said.incarnation;
+        let left = Left { life, heard: now };
+        let known = self.left.entry(note.id.clone()).or_insert(left);
+        known.life = known.life.max(life);
+        known.heard = now;
+    }
+
+    /// A worker has said something new of the life that is known.
+    fn update_worker(&mut self, key: WorkerKey, note: WorkerNote) {
         let worker = &mut self.workers[key];
-        // A late announcement must not bring an earlier state back.
-        if note.sequence > worker.note.sequence {
-            let addr = std::mem::replace(&mut worker.note, note).addr;
-            let new = worker.note.addr;
-            if addr != new {
-                self.forget_addr(addr);
-                *self.addrs.entry(new).or_default() += 1;
-            }
+        let addr = std::mem::replace(&mut worker.note, note).addr;
+        let new = worker.note.addr;
+        if addr != new {
+            self.forget_addr(addr);
+            *self.addrs.entry(new).or_default() += 1;
         }
     }
 
@@ -323,7 +351,12 @@
         }
     }
 
-    fn add_worker(&mut self, now: Time, note: WorkerNote, out: &mut Vec<Output>) {
+    pub(crate) fn add_worker(
+        &mut self,
+        now: Time,
+        note: WorkerNote,
+        out: &mut Vec<Output>,
+    ) -> WorkerKey {
         let id = note.id.clone();
         *self.addrs.entry(note.addr).or_default() += 1;
         let worker = Worker::new(now, note, self.shards);
@@ -333,6 +366,7 @@
         if self.held.contains_key(&domain) {
             self.take_worker(now, key, out);
         }
+        key
     }
 
     /// Not before the end of an input: what works on a batch must not lose it on the way.
@@ -424,7 +458,7 @@
                 wait.max(slow)
             }
         };
-        let key = self.calls.insert(pending);
+        let key = self.calls.insert(Sent { worker, pending });
         out.push(Output::Call(Call {
             key,
             worker: held.id.clone(),
--- a/crates/celerywinch_pool/src/results.rs
+++ b/crates/celerywinch_pool/src/results.rs
@@ -24,10 +24,11 @@
         answer: Answer,
         out: &mut Vec<Output>,
     ) {
-        let Some(pending) = self.calls.remove(key) else {
+        let sent = self.calls.remove(key);
+        let Some(sent) = sent.filter(|sent| self.workers.contains_key(sent.worker)) else {
             return;
         };
-        match pending {
+        match sent.pending {
             Pending::Start(run) => self.start_answered(now, run, answer, out),
             Pending::Stop(run) => self.stop_answered(now, run, &answer, out),
             Pending::StopAlien(worker) => {
--- a/crates/celerywinch_pool/src/takeover.rs
+++ b/crates/celerywinch_pool/src/takeover.rs
@@ -73,7 +73,18 @@
         running: &[RunningRow],
         out: &mut Vec<Output>,
     ) {
-        for row in running {
+        self.settle_inherited(now, key, running, out);
+        let own: BTreeSet<_> = self.workers[key]
+            .runs
+            .iter()
+            .map(|run| self.runs[*run].task)
+            .collect();
+        let running: Vec<_> = running
+            .iter()
+            .filter(|row| !own.contains(&row.task))
+            .copied()
+            .collect();
+        for row in &running {
             let alien = Alien {
                 worker: key,
                 run: row.run,
@@ -89,7 +100,7 @@
         worker.grip = Grip::Held;
         // The dispatcher before may have extended the lease just now. Without that, runs that are
         // adopted would be taken for ended as soon as the worker misses a call.
-        if !running.is_empty() {
+        if !running.is_empty() || !own.is_empty() {
             worker.lease = worker.lease.max(Worker::longest(now, self.config.lease));
         }
         worker.aliens = running.len();
@@ -99,7 +110,7 @@
             found: running.len(),
         }));
         // Origins that were faster than this look wait for what it shows.
-        for row in running {
+        for row in &running {
             if let Some(batch) = self.jobs.get(&(row.task.job, row.task.step)).copied() {
                 self.settle(now, batch, row.task.index);
             }
--- a/crates/celerywinch_pool/tests/lives.rs
+++ b/crates/celerywinch_pool/tests/lives.rs
@@ -3,7 +3,9 @@
 mod rig;
 
 use celerywinch_pool::{Answer, EndedRow, How, Input};
-use celerywinch_types::{Doubt, Incarnation, JobId, TaskEnd, TaskId, WorkerNote, WorkerStage};
+use celerywinch_types::{
+    Doubt, Incarnation, JobId, Said, TaskEnd, TaskId, WorkerNote, WorkerStage,
+};
 use rig::{Rig, clock, ended, is_look, is_start, lists, note, row, step, task};
 use rstest::rstest;
 
@@ -12,7 +14,10 @@
 /// The second life of the worker that the rig has.
 fn second_life() -> WorkerNote {
     WorkerNote {
-        incarnation: Incarnation(2),
+        said: Said {
+            incarnation: Incarnation(2),
+            sequence: 1,
+        },
         ..note("w1", 1)
     }
 }
@@ -84,8 +89,10 @@
 
 fn said(incarnation: u64, sequence: u64, stage: WorkerStage) -> WorkerNote {
     WorkerNote {
-        incarnation: Incarnation(incarnation),
-        sequence,
+        said: Said {
+            incarnation: Incarnation(incarnation),
+            sequence,
+        },
         stage,
         ..note("w1", 1)
     }
--- a/crates/celerywinch_pool/tests/rig/mod.rs
+++ b/crates/celerywinch_pool/tests/rig/mod.rs
@@ -8,8 +8,9 @@
     Answer, Call, EndedRow, Grant, How, Input, Order, Output, Pool, PoolConfig, RunningRow,
 };
 use celerywinch_types::{
-    DataCentreId, Domain, Doubt, Fence, Incarnation, InstanceId, JobId, Room, RunNumber, Session,
-    StepOrder, TaskEnd, TaskId, TaskOrder, Time, WorkMsg, WorkerClock, WorkerNote, WorkerStage,
+    DataCentreId, Domain, Doubt, Fence, Incarnation, InstanceId, JobId, Room, RunNumber, Said,
+    Session, StepOrder, TaskEnd, TaskId, TaskOrder, Time, WorkMsg, WorkerClock, WorkerNote,
+    WorkerStage,
 };
 
 pub(crate) const DC: DataCentreId = DataCentreId(0);
@@ -36,14 +37,16 @@
 pub(crate) fn note(id: &str, port: u16) -> WorkerNote {
     WorkerNote {
         id: id.to_owned(),
-        incarnation: Incarnation(1),
         service: "s".to_owned(),
         addr: ([127, 0, 0, 1], port).into(),
         dc: DC,
         room: ROOM,
         labels: Vec::new(),
         stage: WorkerStage::Ready,
-        sequence: 1,
+        said: Said {
+            incarnation: Incarnation(1),
+            sequence: 1,
+        },
     }
 }
 
--- a/crates/celerywinch_types/src/work.rs
+++ b/crates/celerywinch_types/src/work.rs
@@ -91,12 +91,20 @@
         Gone,
     }
 
+    /// Orders the announcements of a worker. Numbers of one life say nothing of those of another: a worker that starts
+    /// again counts from the beginning, so the life comes first.
+    #[derive(Copy, Default, PartialOrd, Ord)]
+    pub struct Said {
+        /// The life that speaks: ms since 1970 at its start, by the worker's clock; 0 where it does not say.
+        pub incarnation: crate::Incarnation,
+        /// Rises with each announcement of a life.
+        pub sequence: u64,
+    }
+
     /// What a worker says of itself.
     pub struct WorkerNote {
         /// Its name, which it keeps when it starts again.
         pub id: String,
-        /// Which of its lives speaks: ms since 1970 at its start, by its own clock; 0 where it does not say.
-        pub incarnation: crate::Incarnation,
         /// The service whose tasks it runs.
         pub service: String,
         /// Where it takes orders.
@@ -109,8 +117,8 @@
         pub labels: Vec<String>,
         /// Whether it takes work.
         pub stage: WorkerStage,
-        /// Rises with each announcement of a life.
-        pub sequence: u64,
+        /// Which of its announcements this is.
+        pub said: Said,
     }
 }
 
