A worker's answer shows which of its lives is there

A dispatcher learned of a later life by announcements alone, which may be heard seconds later, or of a clock that was set back and so count as earlier. Until then its list was compared with the runs, the clock and the ends of the life before. Now a list says whose it is: of another life than the one that is known, that one is there, in whichever order it was heard; its first list settles what the earlier one had. A life that counts as earlier and speaks has the worker asked.

--- a/crates/celerywinch_member/tests/idle.rs
+++ b/crates/celerywinch_member/tests/idle.rs
@@ -84,6 +84,7 @@
                 match output {
                     Output::Call(call) => {
                         let lists = Answer::Lists {
+                            incarnation: None,
                             clock: WorkerClock(step),
                             running: Vec::new(),
                             ended: Vec::new(),
--- a/crates/celerywinch_member/tests/origins.rs
+++ b/crates/celerywinch_member/tests/origins.rs
@@ -208,6 +208,7 @@
 /// What a worker lists; no run is at work.
 fn lists(ended: Vec<EndedRow>) -> Answer {
     Answer::Lists {
+        incarnation: None,
         clock: WorkerClock(5_000),
         running: Vec::new(),
         ended,
--- a/crates/celerywinch_pool/src/call.rs
+++ b/crates/celerywinch_pool/src/call.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use celerywinch_types::{Fence, RunNumber, TaskId, WorkerClock};
+use celerywinch_types::{Fence, Incarnation, RunNumber, TaskId, WorkerClock};
 use slotmap::new_key_type;
 
 new_key_type! {
@@ -132,6 +132,8 @@
     Rejected(Reject, Option<WorkerClock>),
     /// The lists.
     Lists {
+        /// Which life of the worker answers; none where it does not say.
+        incarnation: Option<Incarnation>,
         /// The worker's clock.
         clock: WorkerClock,
         /// What runs.
--- a/crates/celerywinch_pool/src/lives.rs
+++ b/crates/celerywinch_pool/src/lives.rs
@@ -3,7 +3,7 @@
 //! Nothing of one life holds for another: its runs are over, its clock, its numbers of ends and the fencing token that it has
 //! seen begin anew. So each life has a key of its own, and what was asked of an earlier one is answered to nobody.
 
-use celerywinch_types::{Time, WorkerNote};
+use celerywinch_types::{Incarnation, Said, Time, WorkerNote, WorkerStage};
 
 use crate::call::RunningRow;
 use crate::pool::{Output, Pool};
@@ -38,12 +38,54 @@
         let moved = earlier.note.addr != note.addr;
         let runs = std::mem::take(&mut earlier.runs);
         let later = self.add_worker(now, note, out);
-        self.workers[later].pace = earlier.pace;
+        let worker = &mut self.workers[later];
+        worker.pace = earlier.pace;
+        // It counts again if it turns out to be the one that is there after all.
+        worker.rumour = Some(earlier.note);
         for run in runs {
             self.inherit(now, later, run, moved, out);
         }
     }
 
+    /// A list is of another life than the one that is known: that is the one that is there now, whatever was heard in which order.
+    pub(crate) fn other_life_answers(
+        &mut self,
+        now: Time,
+        key: WorkerKey,
+        life: Incarnation,
+        out: &mut Vec<Output>,
+    ) {
+        let worker = &self.workers[key];
+        let heard = worker.rumour.clone();
+        let heard = heard.filter(|note| note.said.incarnation == life);
+        let note = heard.unwrap_or_else(|| WorkerNote {
+            stage: WorkerStage::Ready,
+            said: Said {
+                incarnation: life,
+                sequence: 0,
+            },
+            ..worker.note.clone()
+        });
+        self.replace_worker(now, key, note, out);
+    }
+
+    /// A life speaks that counts as an earlier one. Mostly that is a message that was held up; but where the clock of the worker
+    /// was set back between two starts it is the life that is there, and if it says that it leaves nothing may be started
+    /// there. The worker is asked which one it is.
+    pub(crate) fn other_life_speaks(
+        &mut self,
+        key: WorkerKey,
+        note: WorkerNote,
+        out: &mut Vec<Output>,
+    ) {
+        let worker = &mut self.workers[key];
+        let later = |known: &WorkerNote| known.said < note.said;
+        if worker.rumour.as_ref().is_none_or(later) {
+            worker.rumour = Some(note);
+        }
+        self.check(key, out);
+    }
+
     /// Leaves a run of an earlier life to the later one to settle. One that has moved can have got no order that was sent to where
     /// the earlier one was.
     fn inherit(
--- a/crates/celerywinch_pool/src/pool.rs
+++ b/crates/celerywinch_pool/src/pool.rs
@@ -290,7 +290,8 @@
         };
         let known = self.workers[key].note.said;
         match note.said.incarnation.cmp(&known.incarnation) {
-            Ordering::Less => {}
+            Ordering::Less if gone => {}
+            Ordering::Less => self.other_life_speaks(key, note, out),
             Ordering::Equal if gone => self.worker_leaves(now, key, out),
             // A late announcement must not bring an earlier state back.
             Ordering::Equal if note.said <= known => {}
--- a/crates/celerywinch_pool/src/results.rs
+++ b/crates/celerywinch_pool/src/results.rs
@@ -194,10 +194,18 @@
         };
         *worker.asked(question) = None;
         match answer {
+            Answer::Lists {
+                incarnation: Some(life),
+                ..
+            } if worker.is_other(life) => {
+                self.other_life_answers(now, key, life, out);
+                return;
+            }
             Answer::Lists {
                 clock,
                 running,
                 ended,
+                ..
             } => {
                 worker.read_clock(now, clock);
                 worker.acknowledged = worker.acknowledged.max(kind.cursor);
--- a/crates/celerywinch_pool/src/worker.rs
+++ b/crates/celerywinch_pool/src/worker.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use celerywinch_types::{Domain, Room, Time, WorkerClock, WorkerNote, WorkerStage, stable_hash};
+use celerywinch_types::{
+    Domain, Incarnation, Room, Time, WorkerClock, WorkerNote, WorkerStage, stable_hash,
+};
 use slotmap::new_key_type;
 
 use crate::call::{CallKey, Question};
@@ -37,6 +39,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Worker {
     pub(crate) note: WorkerNote,
+    /// What a life has said that counts as an earlier one, and whether it does is not known yet.
+    pub(crate) rumour: Option<WorkerNote>,
     /// Whose dispatcher it obeys.
     pub(crate) domain: Domain,
     pub(crate) grip: Grip,
@@ -82,6 +86,7 @@
             domain: domain_of(&note, shards),
             free: note.room,
             note,
+            rumour: None,
             grip: Grip::None,
             runs: Vec::new(),
             aliens: 0,
@@ -124,6 +129,12 @@
         self.silent = 0;
     }
 
+    /// Whether an answer is of another life of the worker than the one that is known.
+    pub(crate) fn is_other(&self, life: Incarnation) -> bool {
+        let known = self.note.said.incarnation;
+        known != Incarnation::default() && life != known
+    }
+
     /// Whether it obeys and answers, has nothing to do, and was told of all ends that were read.
     pub(crate) fn is_settled(&self) -> bool {
         let idle = self.runs.is_empty() && self.aliens == 0;
--- a/crates/celerywinch_pool/tests/lives.rs
+++ b/crates/celerywinch_pool/tests/lives.rs
@@ -2,11 +2,11 @@
 
 mod rig;
 
-use celerywinch_pool::{Answer, EndedRow, How, Input};
+use celerywinch_pool::{Answer, EndedRow, How, Input, Reject, RunningRow};
 use celerywinch_types::{
     Doubt, Incarnation, JobId, Said, TaskEnd, TaskId, WorkerNote, WorkerStage,
 };
-use rig::{Rig, clock, ended, is_look, is_start, lists, note, row, step, task};
+use rig::{Rig, clock, ended, is_look, is_start, lists, lists_of, note, row, step, task};
 use rstest::rstest;
 
 const LATER_JOB: JobId = JobId(78);
@@ -136,3 +136,69 @@
     rig.take(Input::Workers(vec![second_life()]));
     assert_eq!(rig.pool.known_workers(), 1);
 }
+
+/// A caller's task is given up though it is at work, or waits for a lease that cannot matter: a worker has started again, and its
+/// dispatcher hears that first by an answer, before any announcement. The list is of the later life, so it says what is at work,
+/// once it is asked under that life's own key.
+#[rstest]
+#[case::over(Vec::new(), 2)]
+#[case::order_reached_the_later_life(vec![row(1)], 1)]
+fn answer_tells_of_a_later_life(#[case] running: Vec<RunningRow>, #[case] starts: usize) {
+    let mut rig = Rig::new(Vec::new(), Vec::new());
+    rig.submit(step(Doubt::None, 0));
+    let start = rig.last(is_start);
+    rig.answer(&start, Answer::Taken(clock()));
+    let looks = rig.count(is_look);
+    let look = rig.last(is_look);
+    rig.answer(&look, lists_of(2, running.clone(), Vec::new()));
+    assert_eq!(rig.count(is_look), looks + 1, "asked anew");
+    let look = rig.last(is_look);
+    rig.answer(&look, lists_of(2, running, Vec::new()));
+    rig.wait(20);
+    assert_eq!(rig.count(is_start), starts);
+}
+
+/// A caller's task reaches a worker that has said that it leaves, as the worker's clock was set back between two starts: the life
+/// that leaves counts as the earlier one. What the worker itself answers shows which life is there.
+#[rstest]
+#[case::clock_set_back(1, 0)]
+#[case::held_up_on_its_way(2, 1)]
+fn worker_shows_which_life_is_there(#[case] answers: u64, #[case] starts: usize) {
+    let mut rig = Rig::new(Vec::new(), Vec::new());
+    rig.take(Input::Workers(vec![said(2, 20, WorkerStage::Ready)]));
+    let look = rig.last(is_look);
+    rig.answer(&look, lists_of(2, Vec::new(), Vec::new()));
+    rig.take(Input::Workers(vec![said(1, 3, WorkerStage::Draining)]));
+    for _ in 0..2 {
+        let look = rig.last(is_look);
+        rig.answer(&look, lists_of(answers, Vec::new(), Vec::new()));
+    }
+    // Another keeper tells of all that it knows.
+    rig.take(Input::Workers(vec![said(2, 19, WorkerStage::Ready)]));
+    for _ in 0..2 {
+        let look = rig.last(is_look);
+        rig.answer(&look, lists_of(answers, Vec::new(), Vec::new()));
+    }
+    rig.submit(step(Doubt::None, 0));
+    assert_eq!(rig.count(is_start), starts);
+}
+
+/// A caller's task runs twice: an answer to an order of the earlier life comes late, and its clock counts as the later one's.
+#[test]
+fn answers_of_an_earlier_life_count_for_nothing() {
+    let mut rig = Rig::new(Vec::new(), Vec::new());
+    rig.submit(step(Doubt::None, 0));
+    let start = rig.last(is_start);
+    rig.take(Input::Workers(vec![second_life()]));
+    rig.answer(&start, Answer::Rejected(Reject::Fence, None));
+    assert_eq!(rig.outbid, 0, "nobody has taken the domain over");
+    assert_eq!(
+        rig.count(is_start),
+        1,
+        "not before the later life has shown its list"
+    );
+    let look = rig.last(is_look);
+    rig.answer(&look, lists_of(2, Vec::new(), Vec::new()));
+    rig.wait(20);
+    assert_eq!(rig.count(is_start), 2);
+}
--- a/crates/celerywinch_pool/tests/rig/mod.rs
+++ b/crates/celerywinch_pool/tests/rig/mod.rs
@@ -93,6 +93,8 @@
     pub(crate) told: Vec<(TaskId, TaskEnd)>,
     /// The same with whom it was told.
     pub(crate) news: Vec<(InstanceId, TaskEnd)>,
+    /// How often a worker was found to obey another dispatcher.
+    pub(crate) outbid: usize,
 }
 
 impl Rig {
@@ -104,6 +106,7 @@
             calls: Vec::new(),
             told: Vec::new(),
             news: Vec::new(),
+            outbid: 0,
         };
         rig.pool.trust(ORIGIN, Grant::without_end(Incarnation(1)));
         rig.take(Input::Workers(vec![note("w1", 1)]));
@@ -124,7 +127,8 @@
                     self.told
                         .extend(news.iter().map(|news| (news.task, news.end)));
                 }
-                Output::Send(..) | Output::Outbid(_) | Output::Note(_) => {}
+                Output::Outbid(_) => self.outbid += 1,
+                Output::Send(..) | Output::Note(_) => {}
             }
         }
     }
@@ -161,6 +165,17 @@
 
 pub(crate) fn lists(running: Vec<RunningRow>, ended: Vec<EndedRow>) -> Answer {
     Answer::Lists {
+        incarnation: None,
+        clock: clock(),
+        running,
+        ended,
+    }
+}
+
+/// Lists of a life that says which one it is.
+pub(crate) fn lists_of(life: u64, running: Vec<RunningRow>, ended: Vec<EndedRow>) -> Answer {
+    Answer::Lists {
+        incarnation: Some(Incarnation(life)),
         clock: clock(),
         running,
         ended,
--- a/crates/celerywinch_standin/src/leased.rs
+++ b/crates/celerywinch_standin/src/leased.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use celerywinch_pool::{Answer, EndedRow, How, Order, Reject, RunningRow};
-use celerywinch_types::{Fence, Room, RunNumber, TaskId, Time, WorkerClock};
+use celerywinch_types::{Fence, Incarnation, Room, RunNumber, TaskId, Time, WorkerClock};
 
 /// How long a stop takes.
 const STOP: Duration = Duration::from_millis(50);
@@ -51,8 +51,10 @@
 /// A worker.
 #[derive(Clone, Debug)]
 pub struct LeasedWorker {
-    /// Names its life.
+    /// Its name, which a later life may have too.
     pub id: String,
+    /// Which of its lives this is; none where it does not say.
+    pub incarnation: Option<Incarnation>,
     /// What it has.
     pub room: Room,
     /// How its work goes.
@@ -76,6 +78,7 @@
     pub fn new(now: Time, id: &str, room: Room) -> Self {
         Self {
             id: id.to_owned(),
+            incarnation: None,
             room,
             health: Health::Sound(1.0),
             history: Vec::new(),
@@ -225,6 +228,7 @@
                 }
                 self.ended.retain(|row| row.serial > *cursor);
                 Answer::Lists {
+                    incarnation: self.incarnation,
                     clock,
                     running: self.rows(),
                     ended: self.ended.clone(),
