Orders of an earlier life are fenced off at the later one

A worker that starts again has seen no fencing token and no run number, and its clock is far behind the deadlines of the life before. An order that got no answer and is carried out seconds later would be obeyed there, while the caller's task runs elsewhere. Each life that a dispatcher hears of is called under a token above all that it used before: five low bits of the token count the lives under one change of hands, and a domain is taken anew when a worker has used them up. Left: an order that reaches the later life before the first look at it; that look lists it, and it counts as the task's run, or is stopped. Test: orders_of_an_earlier_life_are_fenced_off.

--- a/crates/celerywinch_domains/src/domains.rs
+++ b/crates/celerywinch_domains/src/domains.rs
@@ -25,9 +25,6 @@
 /// of reach. Idle ones may not have been called for minutes; several are asked within the time, one
 /// after the other.
 const ASKED: Duration = Duration::from_millis(650);
-/// Bits of a fencing token below its epoch; they hold the low bits of the instance's number, so that no
-/// two processes use one token.
-const EPOCH_SHIFT: u32 = 16;
 /// Added to the epoch when workers know a higher one: past any that can have been drawn from a
 /// clock that was ahead.
 const EPOCH_LEAP: u64 = 10_000;
@@ -86,7 +83,7 @@
             undivided: false,
             unsettled: false,
             held: BTreeMap::new(),
-            top: Fence(epoch << EPOCH_SHIFT),
+            top: Fence::new(epoch, 0),
             listens_from: now,
             heard: BTreeMap::new(),
             silent: BTreeMap::new(),
@@ -155,7 +152,15 @@
         // is gone, and if none told of it, that had a clock ahead of this one.
         self.listens_from = self.listens_from.max(now + OUTBID_WAIT - LISTEN);
         if self.top <= fence {
-            self.top = Fence(fence.0 + (EPOCH_LEAP << EPOCH_SHIFT));
+            self.top = Fence::new(fence.epoch() + EPOCH_LEAP, 0);
+        }
+    }
+
+    /// The token of a domain is used up: it is held on under a new one.
+    pub fn renew(&mut self, domain: Domain, out: &mut Vec<Change>) {
+        if self.held.contains_key(&domain) {
+            self.resign(domain, out);
+            self.acquire(domain, out);
         }
     }
 
@@ -256,9 +261,9 @@
     }
 
     fn acquire(&mut self, domain: Domain, out: &mut Vec<Change>) {
-        let epoch = (self.top.0 >> EPOCH_SHIFT) + 1;
-        let own = u64::from(self.me.instance.0) & ((1 << EPOCH_SHIFT) - 1);
-        let fence = Fence(epoch << EPOCH_SHIFT | own);
+        // The low bits of the number differ between instances, so that no two use one token.
+        let own = self.me.instance.0 as u16;
+        let fence = Fence::new(self.top.epoch() + 1, own);
         self.top = fence;
         self.held.insert(domain, fence);
         out.push(Change::Acquire(domain, fence));
--- a/crates/celerywinch_member/src/member.rs
+++ b/crates/celerywinch_member/src/member.rs
@@ -545,6 +545,11 @@
                     self.domains.outbid(now, domain, &mut changes);
                     self.change_domains(now, changes, out);
                 }
+                celerywinch_pool::Output::UsedUp(domain) => {
+                    let mut changes = Vec::new();
+                    self.domains.renew(domain, &mut changes);
+                    self.change_domains(now, changes, out);
+                }
                 celerywinch_pool::Output::Note(note) => out.push(Output::Dispatch(note)),
             }
         }
--- a/crates/celerywinch_pool/src/lives.rs
+++ b/crates/celerywinch_pool/src/lives.rs
@@ -3,7 +3,7 @@
 //! Nothing of one life holds for another: its runs are over, its clock, its numbers of ends and the fencing token that it has
 //! seen begin anew. So each life has a key of its own, and what was asked of an earlier one is answered to nobody.
 
-use celerywinch_types::{Incarnation, Said, Time, WorkerNote, WorkerStage};
+use celerywinch_types::{Incarnation, MOST_LIVES, Said, Time, WorkerNote, WorkerStage};
 
 use crate::call::RunningRow;
 use crate::pool::{Output, Pool};
@@ -37,7 +37,8 @@
         }));
         let moved = earlier.note.addr != note.addr;
         let runs = std::mem::take(&mut earlier.runs);
-        let later = self.add_worker(now, note, out);
+        let lives = earlier.lives + 1;
+        let later = self.add_worker(now, note, lives, out);
         let worker = &mut self.workers[later];
         worker.pace = earlier.pace;
         // It counts again if it turns out to be the one that is there after all.
@@ -45,6 +46,9 @@
         for run in runs {
             self.inherit(now, later, run, moved, out);
         }
+        if lives > MOST_LIVES {
+            out.push(Output::UsedUp(self.workers[later].domain));
+        }
     }
 
     /// A list is of another life than the one that is known: that is the one that is there now, whatever was heard in which order.
--- a/crates/celerywinch_pool/src/pool.rs
+++ b/crates/celerywinch_pool/src/pool.rs
@@ -73,6 +73,8 @@
     Send(InstanceId, WorkMsg),
     /// A worker of this domain has seen a higher fencing token.
     Outbid(Domain),
+    /// The fencing token of this domain is used up by a worker that has started again so often.
+    UsedUp(Domain),
     /// A decision for the logs.
     Note(Note),
 }
@@ -284,7 +286,7 @@
             let left = self.left.get(&note.id);
             let has_left = left.is_some_and(|left| note.said.incarnation <= left.life);
             if !gone && !has_left {
-                self.add_worker(now, note, out);
+                self.add_worker(now, note, 0, out);
             }
             return;
         };
@@ -356,11 +358,13 @@
         &mut self,
         now: Time,
         note: WorkerNote,
+        lives: u64,
         out: &mut Vec<Output>,
     ) -> WorkerKey {
         let id = note.id.clone();
         *self.addrs.entry(note.addr).or_default() += 1;
-        let worker = Worker::new(now, note, self.shards);
+        let mut worker = Worker::new(now, note, self.shards);
+        worker.lives = lives;
         let domain = worker.domain;
         let key = self.workers.insert(worker);
         self.names.insert(id, key);
@@ -444,8 +448,8 @@
         order: Order,
         out: &mut Vec<Output>,
     ) -> Option<CallKey> {
-        let held = &self.workers[worker].note;
-        let fence = *self.held.get(&self.workers[worker].domain)?;
+        let callee = &self.workers[worker];
+        let fence = self.held.get(&callee.domain)?.of_life(callee.lives);
         let slow = self.answers.wait(self.config.slow);
         let wait = match order {
             Order::Look { .. } => order.waits() + self.config.answer.max(slow),
@@ -459,11 +463,12 @@
                 wait.max(slow)
             }
         };
+        let callee = &self.workers[worker].note;
         let key = self.calls.insert(Sent { worker, pending });
         out.push(Output::Call(Call {
             key,
-            worker: held.id.clone(),
-            addr: held.addr,
+            worker: callee.id.clone(),
+            addr: callee.addr,
             fence,
             order,
             timeout: wait,
--- a/crates/celerywinch_pool/src/takeover.rs
+++ b/crates/celerywinch_pool/src/takeover.rs
@@ -53,6 +53,7 @@
             workers: keys.len(),
         }));
         for key in keys {
+            self.workers[key].lives = 0;
             self.take_worker(now, key, out);
         }
     }
--- a/crates/celerywinch_pool/src/worker.rs
+++ b/crates/celerywinch_pool/src/worker.rs
@@ -44,6 +44,8 @@
     /// Whose dispatcher it obeys.
     pub(crate) domain: Domain,
     pub(crate) grip: Grip,
+    /// How often it has started again since this dispatcher took it over.
+    pub(crate) lives: u64,
     pub(crate) runs: Vec<RunKey>,
     pub(crate) free: Room,
     /// Runs of another dispatcher that were neither adopted nor seen to end.
@@ -88,6 +90,7 @@
             note,
             rumour: None,
             grip: Grip::None,
+            lives: 0,
             runs: Vec::new(),
             aliens: 0,
             cursor: 0,
@@ -112,6 +115,7 @@
     /// Forgets all that another dispatcher may have changed.
     pub(crate) fn let_go(&mut self) {
         self.grip = Grip::None;
+        self.lives = 0;
         self.runs.clear();
         self.free = self.note.room;
         self.aliens = 0;
--- a/crates/celerywinch_pool/tests/lives.rs
+++ b/crates/celerywinch_pool/tests/lives.rs
@@ -6,7 +6,9 @@
 use celerywinch_types::{
     Doubt, Incarnation, JobId, Said, TaskEnd, TaskId, WorkerNote, WorkerStage,
 };
-use rig::{Rig, clock, ended, is_look, is_start, lists, lists_of, note, row, step, task};
+use rig::{
+    LATER_FENCE, Rig, clock, ended, is_look, is_start, lists, lists_of, note, row, step, task,
+};
 use rstest::rstest;
 
 const LATER_JOB: JobId = JobId(78);
@@ -202,3 +204,25 @@
     rig.wait(20);
     assert_eq!(rig.count(is_start), 2);
 }
+
+/// A caller's task runs twice: an order gets no answer, its worker crashes and starts again, the task is started elsewhere, and
+/// seconds later the order reaches the later life, which has seen no fencing token and obeys. So a life is looked at under a
+/// higher token than any that an earlier one was called under.
+#[test]
+fn orders_of_an_earlier_life_are_fenced_off() {
+    let mut rig = Rig::new(Vec::new(), Vec::new());
+    rig.submit(step(Doubt::None, 0));
+    let mut highest = rig.last(is_start).fence;
+    for life in 2..8 {
+        rig.take(Input::Workers(vec![said(life, 1, WorkerStage::Ready)]));
+        let look = rig.last(is_look);
+        assert!(look.fence > highest, "life {life}");
+        rig.answer(&look, lists_of(life, Vec::new(), Vec::new()));
+        rig.wait(20);
+        highest = rig.last(is_start).fence;
+    }
+    assert!(
+        highest < LATER_FENCE.of_life(0),
+        "a successor's token is higher"
+    );
+}
--- a/crates/celerywinch_pool/tests/rig/mod.rs
+++ b/crates/celerywinch_pool/tests/rig/mod.rs
@@ -18,7 +18,7 @@
 /// An origin whose grant has no end.
 pub(crate) const ORIGIN: InstanceId = InstanceId(9);
 /// A fencing token above the one that the dispatcher begins with.
-pub(crate) const LATER_FENCE: Fence = Fence(9);
+pub(crate) const LATER_FENCE: Fence = Fence(9 << 5);
 pub(crate) const JOB: JobId = JobId(77);
 pub(crate) const ROOM: Room = Room {
     cpu: 32_000,
@@ -110,7 +110,7 @@
         };
         rig.pool.trust(ORIGIN, Grant::without_end(Incarnation(1)));
         rig.take(Input::Workers(vec![note("w1", 1)]));
-        rig.take(Input::Acquire(DOMAIN, Fence(5)));
+        rig.take(Input::Acquire(DOMAIN, Fence(5 << 5)));
         let look = rig.last(|order| matches!(order, Order::Look { .. }));
         rig.answer(&look, lists(running, ended));
         rig
@@ -128,7 +128,7 @@
                         .extend(news.iter().map(|news| (news.task, news.end)));
                 }
                 Output::Outbid(_) => self.outbid += 1,
-                Output::Send(..) | Output::Note(_) => {}
+                Output::Send(..) | Output::UsedUp(_) | Output::Note(_) => {}
             }
         }
     }
--- a/crates/celerywinch_pool/tests/silence.rs
+++ b/crates/celerywinch_pool/tests/silence.rs
@@ -92,7 +92,7 @@
     let mut rig = Rig::new(Vec::new(), Vec::new());
     rig.take(Input::Resign(DOMAIN));
     rig.wait(known_ms);
-    rig.take(Input::Acquire(DOMAIN, Fence(7)));
+    rig.take(Input::Acquire(DOMAIN, Fence(7 << 5)));
     pass(&mut rig, 100, "w1");
     pass(&mut rig, 400, NOBODY);
     rig.submit(step(Doubt::None, 0));
@@ -108,7 +108,7 @@
     rig.take(Input::Resign(DOMAIN));
     let others = (2..=40).map(|port| note(&format!("w{port}"), port));
     rig.take(Input::Workers(others.collect()));
-    rig.take(Input::Acquire(DOMAIN, Fence(7)));
+    rig.take(Input::Acquire(DOMAIN, Fence(7 << 5)));
     pass(&mut rig, 1_000, NOBODY);
     let mut most = 0;
     for _ in 0..90 {
--- a/crates/celerywinch_types/src/work.rs
+++ b/crates/celerywinch_types/src/work.rs
@@ -150,6 +150,35 @@
     }
 }
 
+/// Low bits of a fencing token that are left for the lives of a worker.
+const LIFE_BITS: u32 = 5;
+/// So many later lives of a worker can be told apart under one token of its domain.
+pub const MOST_LIVES: u64 = (1 << LIFE_BITS) - 1;
+
+impl Fence {
+    /// The token of a change of hands: a later epoch is higher; `holder` keeps apart those who take the same one.
+    #[must_use]
+    pub fn new(epoch: u64, holder: u16) -> Self {
+        let epoch = epoch << u16::BITS;
+        Self((epoch | u64::from(holder)) << LIFE_BITS)
+    }
+
+    /// The epoch it was made of.
+    #[must_use]
+    pub fn epoch(self) -> u64 {
+        self.0 >> (u16::BITS + LIFE_BITS)
+    }
+
+    /// The token for a worker that has started again so often since the change of hands.
+    ///
+    /// A worker that starts again has seen no token, and would obey an order that was sent to the life before and held up on its
+    /// way, while the task runs elsewhere. Once it has seen this one it refuses that order.
+    #[must_use]
+    pub fn of_life(self, lives: u64) -> Self {
+        Self(self.0 + lives.min(MOST_LIVES))
+    }
+}
+
 /// How far a task's run number rises when its dispatcher starts it without knowing what an earlier one did.
 /// No task is started so often in the time that it waits before.
 const UNHEARD_RUNS: u64 = 1_000;
