What a worker says that it has bounds what is sent to it from then on

A worker that does not guard its capacity was overloaded when that shrank while it ran: its free room was counted up and down from what it had at first. Now what its runs need is counted, also of those that are being stopped, and what is free follows from the room that it tells of.

--- a/crates/celerywinch_pool/src/admission.rs
+++ b/crates/celerywinch_pool/src/admission.rs
@@ -56,7 +56,7 @@
         let workers = self.workers.iter().filter(|(_, w)| w.takes(now));
         let fitting = workers.filter(|(key, worker)| self.suits(batch, *key, worker));
         let cpu = batch.order.need.cpu.max(1);
-        fitting.map(|(_, w)| (w.free.cpu / cpu) as usize).sum()
+        fitting.map(|(_, w)| (w.free().cpu / cpu) as usize).sum()
     }
 
     /// Refuses a new job that could not end within its objective because of the work ahead of it.
@@ -143,7 +143,7 @@
         let workers = self.workers.values().filter(|w| w.domain == domain);
         let free = workers
             .filter(|worker| worker.takes(now))
-            .map(|worker| worker.free.cpu / cpu)
+            .map(|worker| worker.free().cpu / cpu)
             .sum();
         let mut wait = [0; PRIORITIES as usize];
         for (priority, wait) in (0..PRIORITIES).zip(&mut wait) {
--- a/crates/celerywinch_pool/src/lives.rs
+++ b/crates/celerywinch_pool/src/lives.rs
@@ -110,7 +110,7 @@
         let need = run.need;
         let worker = &mut self.workers[later];
         worker.runs.push(key);
-        worker.free = worker.free.less(need);
+        worker.used = worker.used.plus(need);
         worker.lease = worker.lease.max(longest);
         if moved {
             self.lose_run(now, key, "gone", out);
--- a/crates/celerywinch_pool/src/place.rs
+++ b/crates/celerywinch_pool/src/place.rs
@@ -81,7 +81,7 @@
         let service = worker.note.service == order.service;
         let label = order.label.as_ref();
         let labelled = label.is_none_or(|label| worker.note.labels.contains(label));
-        service && labelled && worker.free.fits(order.need) && self.spreads(batch, key, worker)
+        service && labelled && worker.free().fits(order.need) && self.spreads(batch, key, worker)
     }
 
     fn spreads(&self, batch: &Batch, _key: WorkerKey, worker: &Worker) -> bool {
@@ -166,7 +166,7 @@
 
 /// Less is better: what is left empty on the worker, and how long the task would take there.
 fn cost(batch: &Batch, task: &Task, key: WorkerKey, worker: &Worker, packs: bool) -> f64 {
-    let left = worker.free.less(batch.order.need).cpu;
+    let left = worker.free().less(batch.order.need).cpu;
     let empty = if packs {
         f64::from(left) / f64::from(worker.note.room.cpu.max(1))
     } else {
--- a/crates/celerywinch_pool/src/pool.rs
+++ b/crates/celerywinch_pool/src/pool.rs
@@ -498,7 +498,7 @@
         let run = self.runs.remove(key)?;
         if let Some(worker) = self.workers.get_mut(run.worker) {
             worker.runs.retain(|other| *other != key);
-            worker.free = worker.free.plus(run.need);
+            worker.used = worker.used.less(run.need);
         }
         Some(run)
     }
@@ -510,7 +510,7 @@
         let key = self.runs.insert(run);
         let worker = &mut self.workers[worker];
         worker.runs.push(key);
-        worker.free = worker.free.less(need);
+        worker.used = worker.used.plus(need);
         key
     }
 
--- a/crates/celerywinch_pool/src/worker.rs
+++ b/crates/celerywinch_pool/src/worker.rs
@@ -47,7 +47,8 @@
     /// How often it has started again since this dispatcher took it over.
     pub(crate) lives: u64,
     pub(crate) runs: Vec<RunKey>,
-    pub(crate) free: Room,
+    /// What its runs need, those too whose end is not listed yet.
+    pub(crate) used: Room,
     /// Runs of another dispatcher that were neither adopted nor seen to end.
     pub(crate) aliens: usize,
     /// The last end that was taken note of, and the last that the worker was told of.
@@ -86,7 +87,7 @@
     pub(crate) fn new(now: Time, note: WorkerNote, shards: u8) -> Self {
         Self {
             domain: domain_of(&note, shards),
-            free: note.room,
+            used: Room::default(),
             note,
             rumour: None,
             grip: Grip::None,
@@ -117,7 +118,7 @@
         self.grip = Grip::None;
         self.lives = 0;
         self.runs.clear();
-        self.free = self.note.room;
+        self.used = Room::default();
         self.aliens = 0;
         self.cursor = 0;
         self.acknowledged = 0;
@@ -207,6 +208,12 @@
         now + lease + drift + LEASE_MARGIN
     }
 
+    /// What is free. Nothing where its room has shrunk below what is at work there: that ends as it would, and what
+    /// comes next waits.
+    pub(crate) fn free(&self) -> Room {
+        self.note.room.less(self.used)
+    }
+
     /// Whether a new task may be sent there.
     pub(crate) fn takes(&self, now: Time) -> bool {
         let sound = self.grip == Grip::Held && self.silent == 0 && self.aliens == 0;
