The simulated deployment learns workers that come back, leave, shrink, or are ended by tasks

Judged: starts after a notice, starts over a room, starts of a task by which three workers have ended.

--- a/crates/celerywinch/src/commands/soak.rs
+++ b/crates/celerywinch/src/commands/soak.rs
@@ -16,7 +16,7 @@
     run,
 };
 
-const BRIEF: &str = "Usage: celerywinch soak [--seed N] [--steps M] [--calm] [--store]\n       celerywinch soak --members [--seed N] [--runs M] [--held]\n                                  [--congested] [--refused] [--drift] [--many]\n                                  [--without NAMES]\n\n\
+const BRIEF: &str = "Usage: celerywinch soak [--seed N] [--steps M] [--calm] [--store]\n       celerywinch soak --members [--seed N] [--runs M] [--held]\n                                  [--congested] [--refused] [--drift] [--many]\n                                  [--reborn] [--shrinking] [--crashing]\n                                  [--without NAMES]\n\n\
     Drives the entries' state machines with a virtual clock under lost, doubled, delayed and\n\
     reordered messages, deaths, freezes, cuts and lost memory. One seed gives one run.\n\
     Prints `steps=… starts=… violations=…` last and exits 1 on a violation.";
@@ -88,6 +88,21 @@
         "drift",
         "with --members: steady clocks of workers are up to 2% slow",
     );
+    options.optflag(
+        "",
+        "reborn",
+        "with --members: workers start again under their names, and leave, too",
+    );
+    options.optflag(
+        "",
+        "shrinking",
+        "with --members: workers that do not guard their room have less of it at times",
+    );
+    options.optflag(
+        "",
+        "crashing",
+        "with --members: tasks of some jobs end their workers",
+    );
     options.optflag(
         "",
         "many",
@@ -119,6 +134,9 @@
             congested: matches.opt_present("congested"),
             refused: matches.opt_present("refused"),
             drift: matches.opt_present("drift"),
+            reborn: matches.opt_present("reborn"),
+            shrinking: matches.opt_present("shrinking"),
+            crashing: matches.opt_present("crashing"),
             many: matches.opt_present("many"),
             without: matches.opt_str("without").unwrap_or_default().parse()?,
         };
@@ -173,6 +191,9 @@
     congested: bool,
     refused: bool,
     drift: bool,
+    reborn: bool,
+    shrinking: bool,
+    crashing: bool,
     many: bool,
     without: Without,
 }
@@ -233,6 +254,9 @@
             congested: kinds.congested,
             refused: kinds.refused,
             drift: kinds.drift,
+            reborn: kinds.reborn,
+            shrinking: kinds.shrinking,
+            crashing: kinds.crashing,
         }),
         follow: follow.map(JobId),
     }
--- a/crates/celerywinch_bench/src/members/callers.rs
+++ b/crates/celerywinch_bench/src/members/callers.rs
@@ -37,6 +37,8 @@
     pub(crate) plan: JobPlan,
     /// What each task takes on a sound worker.
     pub(crate) takes: Vec<Duration>,
+    /// Whether its tasks end their workers.
+    pub(crate) ending: bool,
 }
 
 impl World {
@@ -98,6 +100,7 @@
                 steps: vec![step],
             },
             takes,
+            ending: self.draw_ending(),
         }
     }
 
--- a/crates/celerywinch_bench/src/members/faults.rs
+++ b/crates/celerywinch_bench/src/members/faults.rs
@@ -29,6 +29,12 @@
     /// Whether members that are alive are refused connections by others: those count as lost at once; and
     /// whether calls are refused by workers that are down, and by some that are alive.
     pub refused: bool,
+    /// Whether workers keep their names when they start again, may say that they leave, and are heard of out of order.
+    pub reborn: bool,
+    /// Whether workers do not guard their room, and it shrinks and grows.
+    pub shrinking: bool,
+    /// Whether the tasks of some jobs end their workers.
+    pub crashing: bool,
     /// Whether the steady clocks of workers are up to 2% slow, each by its own share.
     pub drift: bool,
 }
@@ -51,6 +57,8 @@
     LoseAnswers,
     Refuse,
     RefuseCalls,
+    Drain,
+    Shrink,
 }
 
 const MEMBER_FAULTS: [Fault; 4] = [Fault::Kill, Fault::Leave, Fault::Freeze, Fault::Cut];
@@ -63,6 +71,8 @@
     Fault::LoseAnswers,
 ];
 const REFUSED_FAULTS: [Fault; 3] = [Fault::Refuse, Fault::Refuse, Fault::RefuseCalls];
+const REBORN_FAULTS: [Fault; 4] = [Fault::Drain, Fault::Drain, Fault::Crash, Fault::Crash];
+const SHRINKING_FAULTS: [Fault; 4] = [Fault::Shrink; 4];
 const WORKER_FAULTS: [Fault; 6] = [
     Fault::Crash,
     Fault::Hang,
@@ -82,11 +92,15 @@
         let held = HELD_FAULTS.iter().filter(|_| plan.held);
         let congested = CONGESTED_FAULTS.iter().filter(|_| plan.congested);
         let refused = REFUSED_FAULTS.iter().filter(|_| plan.refused);
+        let reborn = REBORN_FAULTS.iter().filter(|_| plan.reborn);
+        let shrinking = SHRINKING_FAULTS.iter().filter(|_| plan.shrinking);
         let Some(fault) = members
             .chain(workers)
             .chain(held)
             .chain(congested)
             .chain(refused)
+            .chain(reborn)
+            .chain(shrinking)
             .choose(&mut self.random)
             .copied()
         else {
@@ -113,6 +127,8 @@
             Fault::LoseAnswers => self.lose_answers(lasts),
             Fault::Refuse => self.refuse_links(lasts),
             Fault::RefuseCalls => self.refuse_calls(lasts),
+            Fault::Drain => self.drain_worker(),
+            Fault::Shrink => self.shrink_worker(lasts),
         }
     }
 }
--- a/crates/celerywinch_bench/src/members/history.rs
+++ b/crates/celerywinch_bench/src/members/history.rs
@@ -17,6 +17,12 @@
     FalseRefusal(JobId, Ran),
     /// A caller at a living entry got no answer.
     NoAnswer(JobId, Time),
+    /// A task was started on a worker long after that had said that it leaves.
+    AfterNotice(TaskId, String),
+    /// A task was started on a worker that had no room for it, nor had had for long.
+    OverRoom(TaskId, String),
+    /// A task was started so often more after three workers had ended by it.
+    Restarted(TaskId, usize),
     /// A member did not come to rest after the load.
     Restless(String),
 }
--- a/crates/celerywinch_bench/src/members/judge.rs
+++ b/crates/celerywinch_bench/src/members/judge.rs
@@ -8,6 +8,9 @@
 use super::load::ClassFigures;
 use super::world::{MembersReport, World};
 
+/// Of a task by which three workers have ended, so many more starts break the users' bound.
+const MOST_RESTARTS: usize = 3;
+
 impl World {
     /// Compares what was seen with what was promised.
     pub(crate) fn report(mut self) -> MembersReport {
@@ -20,6 +23,8 @@
             violations: overlaps(&self.history),
             ..MembersReport::default()
         };
+        report.violations.extend(std::mem::take(&mut self.broken));
+        report.violations.extend(self.restarted());
         let cut = |ran: &&Ran| ran.how == celerywinch_pool::How::Cut;
         report.runs = (self.history.len(), self.history.iter().filter(cut).count());
         report.control = self.members.iter().map(|host| host.control).collect();
@@ -38,6 +43,20 @@
         report
     }
 
+    /// Tasks that were started on and on though they end their workers.
+    fn restarted(&self) -> Vec<Violation> {
+        let ended = self.ended_workers.iter();
+        let third = ended.filter_map(|(task, ends)| Some((*task, *ends.get(2)?)));
+        let later = third.map(|(task, third)| {
+            let runs = self.history.iter();
+            let later = runs.filter(|ran| ran.task == task && ran.from > third);
+            Violation::Restarted(task, later.count())
+        });
+        later
+            .filter(|found| matches!(found, Violation::Restarted(_, starts) if *starts >= MOST_RESTARTS))
+            .collect()
+    }
+
     fn judge(&self, job: &CallerJob, report: &mut MembersReport) {
         let figures = &mut report.classes[job.class];
         figures.asked += 1;
--- a/crates/celerywinch_bench/src/members/mod.rs
+++ b/crates/celerywinch_bench/src/members/mod.rs
@@ -7,6 +7,7 @@
 mod faults;
 mod history;
 mod judge;
+mod lives;
 mod load;
 mod refusals;
 mod wire;
--- a/crates/celerywinch_bench/src/members/world.rs
+++ b/crates/celerywinch_bench/src/members/world.rs
@@ -1,14 +1,14 @@
 //! The simulated deployment.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use celerywinch_member::{Input, Member, MemberConfig, Output};
 use celerywinch_pool::{Answer, CLOCK_ERROR, CallKey, Note, PoolConfig};
 use celerywinch_standin::{LeasedWorker, Ran};
 use celerywinch_types::{
-    Beat, DataCentreId, FleetMsg, Incarnation, InstanceId, JobId, Part, Process, Room, Time,
-    TimerQueue, WallMs, Without, score,
+    Beat, DataCentreId, FleetMsg, Incarnation, InstanceId, JobId, Part, Process, Room, TaskId,
+    Time, TimerQueue, WallMs, Without, WorkerNote, score,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -18,6 +18,7 @@
 use super::cuts::Apart;
 use super::faults::FaultPlan;
 use super::history::Violation;
+use super::lives::Word;
 use super::load::{ClassFigures, LoadPlan};
 use super::refusals::Refusals;
 use super::wire::{Control, Wire, size_of};
@@ -41,8 +42,8 @@
 const AFTER_LAST: Duration = Duration::from_secs(2);
 /// When a run begins, in ms since 1970, and how far wall clocks are wrong at most where they are; by
 /// the users' page they jump by seconds.
-const EPOCH_MS: u64 = 1_700_000_000_000;
-const SKEW_MS: u64 = 5_000;
+pub(crate) const EPOCH_MS: u64 = 1_700_000_000_000;
+pub(crate) const SKEW_MS: u64 = 5_000;
 /// What a worker has; every third one has half as much again.
 const WORKER_CPU: u32 = 32_000;
 
@@ -109,6 +110,10 @@
     JoinEntries,
     Announce(usize),
     WorkerBack(usize),
+    WorkerLeaves(usize, u32),
+    Grow(usize, u32),
+    Stale(WorkerNote),
+    EndedBy(usize, u32, TaskId),
     Heal(usize),
     AnnounceAll,
     Online(usize),
@@ -151,6 +156,10 @@
     pub(crate) workers: Vec<WorkerHost>,
     pub(crate) jobs: Vec<CallerJob>,
     pub(crate) history: Vec<Ran>,
+    /// What was found broken while it happened.
+    pub(crate) broken: Vec<Violation>,
+    /// When workers ended by each task.
+    pub(crate) ended_workers: HashMap<TaskId, Vec<Time>>,
     /// Data centres that are cut off.
     pub(crate) cut: BTreeSet<u8>,
     /// Entries that are cut off from all other members.
@@ -195,6 +204,8 @@
             workers: Vec::new(),
             jobs: Vec::new(),
             history: Vec::new(),
+            broken: Vec::new(),
+            ended_workers: HashMap::new(),
             cut: BTreeSet::new(),
             apart: Apart::default(),
             refusals: Refusals::default(),
@@ -226,8 +237,13 @@
                 memory: 65_536,
                 accelerators: 0,
             };
+            let plan = world.options.faults.unwrap_or_default();
+            let mut worker = LeasedWorker::new(Time(0), &format!("worker-{index}-0"), room);
+            worker.guards = !plan.shrinking;
+            worker.incarnation = plan.reborn.then_some(Incarnation(EPOCH_MS));
             world.workers.push(WorkerHost {
-                worker: LeasedWorker::new(Time(0), &format!("worker-{index}-0"), room),
+                worker,
+                word: Word::new(room),
                 dc: (index % u32::from(world.options.dcs)) as u8,
                 up: true,
                 lives: 0,
@@ -277,7 +293,7 @@
             | Event::Reset(..) => self.reach_member(event),
             Event::Order(worker, way) => self.ordered(worker, way),
             Event::LateOrder(worker, way) => {
-                if self.workers[worker].up {
+                if self.workers[worker].up && !self.beats_the_first_call(worker, &way.call) {
                     self.carry_out(worker, &way.call);
                 }
             }
@@ -298,6 +314,10 @@
             Event::JoinEntries => self.join_entries(),
             Event::Announce(worker) => self.announce(worker),
             Event::WorkerBack(worker) => self.worker_back(worker),
+            Event::WorkerLeaves(worker, lives) => self.worker_leaves(worker, lives),
+            Event::Grow(worker, lives) => self.grow_worker(worker, lives),
+            Event::Stale(note) => self.tell_all(&note),
+            Event::EndedBy(worker, lives, task) => self.ended_by(worker, lives, task),
             Event::Heal(worker) => self.heal(worker),
             Event::AnnounceAll => self.announce_all(),
             Event::Online(member) => self.online(member),
