That a worker has left counts for the life that says so

The same cause at the same keeper: a word that a worker has left, held up by a cut, was taken for one of the life that is there now, and that got no work for 20 s and more. It may say which life it is of; one of an earlier life is ignored. Where it does not say, it counts for the known one, as before. Test: leave_counts_for_its_own_life.

--- a/crates/celerywinch_fleet/src/core.rs
+++ b/crates/celerywinch_fleet/src/core.rs
@@ -68,7 +68,7 @@
     Answered(CallKey, Answer),
     AnsweredLate(Duration),
     Announce(WorkerNote, oneshot::Sender<bool>),
-    Leave(String, oneshot::Sender<bool>),
+    Leave(String, Option<Incarnation>, oneshot::Sender<bool>),
     Keep(Option<(u64, Vec<u8>)>, oneshot::Sender<Option<Held>>),
     Store(StoreOut),
     Seeds(Vec<InstanceId>),
@@ -382,8 +382,8 @@
             CoreMsg::Announce(note, answer) => {
                 let _ = answer.send(self.announced(now, note));
             }
-            CoreMsg::Leave(worker, answer) => {
-                let _ = answer.send(self.worker_left(now, &worker));
+            CoreMsg::Leave(worker, life, answer) => {
+                let _ = answer.send(self.worker_left(now, &worker, life));
             }
             CoreMsg::Keep(document, answer) => self.keep(document, answer),
             CoreMsg::Store(out) => self.stored(now, out),
--- a/crates/celerywinch_fleet/src/core/keeping.rs
+++ b/crates/celerywinch_fleet/src/core/keeping.rs
@@ -1,7 +1,9 @@
 //! The configuration's keepers, and the workers' announcements.
 
 use celerywinch_registry::{Held, Request};
-use celerywinch_types::{FleetMsg, InstanceId, KeepMsg, Time, WorkerNote, WorkerStage};
+use celerywinch_types::{
+    FleetMsg, Incarnation, InstanceId, KeepMsg, Time, WorkerNote, WorkerStage,
+};
 use tokio::sync::oneshot;
 
 use super::{Core, CoreNote};
@@ -163,8 +165,14 @@
         }
     }
 
-    pub(super) fn worker_left(&mut self, now: Time, worker: &str) -> bool {
-        if let Some(note) = self.roster.left(now, worker) {
+    /// A worker has left; `life` is none where it does not say which of its lives did.
+    pub(super) fn worker_left(
+        &mut self,
+        now: Time,
+        worker: &str,
+        life: Option<Incarnation>,
+    ) -> bool {
+        if let Some(note) = self.roster.left(now, worker, life) {
             self.untold.push(note);
             self.tell_workers(now);
         }
--- a/crates/celerywinch_fleet/src/handle.rs
+++ b/crates/celerywinch_fleet/src/handle.rs
@@ -7,7 +7,7 @@
 use arc_swap::ArcSwapOption;
 use celerywinch_origin::{CallerId, NewJob};
 use celerywinch_registry::Held;
-use celerywinch_types::{InstanceId, JobEnd, QueueBook, WorkerNote};
+use celerywinch_types::{Incarnation, InstanceId, JobEnd, QueueBook, WorkerNote};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 
@@ -115,9 +115,9 @@
             .unwrap_or(false)
     }
 
-    /// A worker leaves.
-    pub async fn leave(&self, worker: String) -> bool {
-        self.ask(|answer| CoreMsg::Leave(worker, answer))
+    /// A worker has left; `life` is none where it does not say which of its lives did.
+    pub async fn leave(&self, worker: String, life: Option<Incarnation>) -> bool {
+        self.ask(|answer| CoreMsg::Leave(worker, life, answer))
             .await
             .unwrap_or(false)
     }
--- a/crates/celerywinch_fleet/src/roster.rs
+++ b/crates/celerywinch_fleet/src/roster.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use celerywinch_types::{Said, Time, WorkerNote, WorkerStage};
+use celerywinch_types::{Incarnation, Said, Time, WorkerNote, WorkerStage};
 use serde::Serialize;
 
 /// A worker that did not announce itself for this long is forgotten by its keeper. Dispatchers find
@@ -75,9 +75,15 @@
         if news { Heard::News } else { Heard::Nothing }
     }
 
-    /// A worker says that it leaves.
-    pub fn left(&mut self, now: Time, id: &str) -> Option<WorkerNote> {
+    /// A worker has left; `life` is none where it does not say which of its lives did. None if a later one is known: the word was
+    /// held up, and a worker that serves would get no work for as long as that is remembered.
+    pub fn left(&mut self, now: Time, id: &str, life: Option<Incarnation>) -> Option<WorkerNote> {
         let known = self.workers.get_mut(id)?;
+        let said = &mut known.note.said;
+        if life.is_some_and(|life| life < said.incarnation) {
+            return None;
+        }
+        said.incarnation = life.unwrap_or(said.incarnation);
         known.heard = now;
         known.note.stage = WorkerStage::Gone;
         self.changed = true;
--- a/crates/celerywinch_fleet/tests/roster.rs
+++ b/crates/celerywinch_fleet/tests/roster.rs
@@ -4,6 +4,7 @@
 
 use celerywinch_fleet::{Heard, Roster};
 use celerywinch_types::{DataCentreId, Incarnation, Room, Said, Time, WorkerNote, WorkerStage};
+use rstest::rstest;
 
 fn said(incarnation: u64, sequence: u64) -> Said {
     Said {
@@ -91,10 +92,29 @@
     let now = Time(10_000_000);
     let mut roster = Roster::default();
     roster.heard(now, note("a", WorkerStage::Ready, 7));
-    roster.left(now, "a");
+    roster.left(now, "a", None);
     let again = WorkerNote {
         said: said(2, 1),
         ..note("a", WorkerStage::Ready, 1)
     };
     assert_eq!(roster.heard(now, again), Heard::News);
 }
+
+/// A worker that serves gets no work for 20 s: that its earlier life has left was held up on its way, and is taken for a word of the
+/// later one.
+#[rstest]
+#[case::earlier_life(Some(1), WorkerStage::Ready)]
+#[case::same_life(Some(2), WorkerStage::Gone)]
+#[case::life_not_heard_of(Some(3), WorkerStage::Gone)]
+#[case::not_said(None, WorkerStage::Gone)]
+fn leave_counts_for_its_own_life(#[case] life: Option<u64>, #[case] stage: WorkerStage) {
+    let now = Time(10_000_000);
+    let mut roster = Roster::default();
+    let second = WorkerNote {
+        said: said(2, 1),
+        ..note("a", WorkerStage::Ready, 1)
+    };
+    roster.heard(now, second);
+    roster.left(now, "a", life.map(Incarnation));
+    assert_eq!(roster.all()[0].stage, stage);
+}
