--- a/crates/celerywinch_bench/src/members/judge.rs
+++ b/crates/celerywinch_bench/src/members/judge.rs
@@ -4,6 +4,7 @@
 use celerywinch_types::{JobEnd, TaskId};
 
 use super::callers::CallerJob;
+use super::faults::FaultPlan;
 use super::history::{Violation, done, overlaps};
 use super::load::ClassFigures;
 use super::world::{MembersReport, World};
@@ -43,8 +44,13 @@
         report
     }
 
-    /// Tasks that were started on and on though they end their workers.
+    /// Tasks that were started on and on though they end their workers. The bound holds for members that hear each other:
+    /// where messages are held up, late or refused a caller sends its job to the other side of a cut, which knows of nothing.
     fn restarted(&self) -> Vec<Violation> {
+        let apart = |plan: &FaultPlan| plan.held || plan.congested || plan.refused;
+        if self.options.faults.as_ref().is_some_and(apart) {
+            return Vec::new();
+        }
         let ended = self.ended_workers.iter();
         let third = ended.filter_map(|(task, ends)| Some((*task, *ends.get(2)?)));
         let later = third.map(|(task, third)| {
--- a/crates/celerywinch_bench/src/members/world.rs
+++ b/crates/celerywinch_bench/src/members/world.rs
@@ -364,6 +364,7 @@
             FleetMsg::Work(msg) => Input::Work(from, msg),
             FleetMsg::Workers(notes) => Input::Workers(notes),
             FleetMsg::Learned(learned) => Input::Learned(learned),
+            FleetMsg::Crashes(told) => Input::Crashes(told),
             _ => return,
         };
         self.input(index, input);
--- a/crates/celerywinch_fleet/src/core.rs
+++ b/crates/celerywinch_fleet/src/core.rs
@@ -419,6 +419,7 @@
             FleetMsg::Spread(msg) => self.spread(now, SpreadInput::Message(from.instance, msg)),
             FleetMsg::Work(msg) => self.input(now, Input::Work(from, msg)),
             FleetMsg::Learned(learned) => self.input(now, Input::Learned(learned)),
+            FleetMsg::Crashes(told) => self.input(now, Input::Crashes(told)),
         }
     }
 
--- a/crates/celerywinch_fleet/src/metrics.rs
+++ b/crates/celerywinch_fleet/src/metrics.rs
@@ -19,7 +19,7 @@
 const DOCUMENT_SECONDS: &[f64] = &[0.01, 0.03, 0.1, 0.2, 0.5, 1.0, 1.5, 2.0, 4.0];
 
 /// Kinds of messages to other processes.
-const KINDS: [&str; 8] = [
+const KINDS: [&str; 9] = [
     "heartbeat",
     "contacts",
     "log",
@@ -28,6 +28,7 @@
     "configuration",
     "work",
     "learned",
+    "crashes",
 ];
 
 /// Counters, gauges and histograms; every clone counts into the same ones.
@@ -182,6 +183,7 @@
             FleetMsg::Spread(_) => KINDS[5],
             FleetMsg::Work(_) => KINDS[6],
             FleetMsg::Learned(_) => KINDS[7],
+            FleetMsg::Crashes(_) => KINDS[8],
         };
         self.messages.with_label_values(&[kind]).inc();
         let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
--- a/crates/celerywinch_member/src/beats.rs
+++ b/crates/celerywinch_member/src/beats.rs
@@ -375,4 +375,23 @@
             out.push(Output::Send(entry, FleetMsg::Learned(learned.clone())));
         }
     }
+
+    /// Tells all that dispatch, and those that would next, of workers that ended under tasks since the last tick.
+    fn spread_crashes_to(&self, peer: InstanceId, view: &PeerView) -> bool {
+        let dispatches = !view.beat.holdings.is_empty();
+        let next = self.few() || self.close.successors.contains(&peer);
+        view.beat.part == Part::Entry && (dispatches || next)
+    }
+
+    pub(crate) fn spread_crashes(&mut self, now: Time, out: &mut Vec<Output>) {
+        if self.crashes.is_empty() {
+            return;
+        }
+        let told: Vec<_> = std::mem::take(&mut self.crashes).into_iter().collect();
+        for (peer, view) in self.peers.alive(now) {
+            if self.spread_crashes_to(peer, view) {
+                out.push(Output::Send(peer, FleetMsg::Crashes(told.clone())));
+            }
+        }
+    }
 }
--- a/crates/celerywinch_member/src/member.rs
+++ b/crates/celerywinch_member/src/member.rs
@@ -1,14 +1,14 @@
 //! The state machine.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use celerywinch_domains::{Change, Domains, Me, PeerView, Peers};
 use celerywinch_origin::{CallerId, Input as OriginInput, JobNote, NewJob, Origin};
 use celerywinch_pool::{Answer, Call, CallKey, Grant, Input as PoolInput, Note, Pool, PoolConfig};
 use celerywinch_types::{
-    Beat, DataCentreId, FleetMsg, Holding, InstanceId, JobEnd, Learned, Mechanism, Part, Process,
-    Stage, Time, WallMs, WorkMsg, WorkerNote,
+    Beat, Crashes, DataCentreId, FleetMsg, Holding, InstanceId, JobEnd, Learned, Mechanism, Part,
+    Process, Stage, TaskId, Time, WallMs, WorkMsg, WorkerNote,
 };
 
 use crate::MemberNote;
@@ -71,6 +71,8 @@
     Workers(Vec<WorkerNote>),
     /// What another dispatcher has learned.
     Learned(Learned),
+    /// Workers that ended under tasks, as another dispatcher knows.
+    Crashes(Vec<(TaskId, Crashes)>),
     /// A caller submits a job.
     Submit(CallerId, NewJob),
     /// A caller waits no more.
@@ -146,6 +148,8 @@
     compared: Time,
     /// What it dispatches for, with the room at the last tick.
     pub(crate) holdings: Vec<Holding>,
+    /// Workers that ended under tasks, which other dispatchers have to know.
+    pub(crate) crashes: BTreeMap<TaskId, Crashes>,
     /// Work of this process for itself.
     own: VecDeque<WorkMsg>,
 }
@@ -184,6 +188,7 @@
             circled: Time::default(),
             compared: Time::default(),
             holdings: Vec::new(),
+            crashes: BTreeMap::new(),
             own: VecDeque::new(),
             config,
         }
@@ -247,6 +252,7 @@
             Input::Work(from, msg) => self.work(now, from, msg, out),
             Input::Workers(notes) => self.pool_input(now, PoolInput::Workers(notes), out),
             Input::Learned(learned) => self.pool.learn_from(learned),
+            Input::Crashes(told) => self.pool_input(now, PoolInput::Crashes(told), out),
             Input::Submit(caller, job) => {
                 self.origin_input(now, OriginInput::Submit(caller, job), out);
             }
@@ -308,6 +314,7 @@
                 self.update_loads(now, me, self.holdings.clone(), out);
             }
             self.spread_learned(now, out);
+            self.spread_crashes(now, out);
             self.pool_input(now, PoolInput::Tick, out);
             self.origin_input(now, OriginInput::Tick, out);
         }
@@ -550,6 +557,9 @@
                     self.domains.renew(domain, &mut changes);
                     self.change_domains(now, changes, out);
                 }
+                celerywinch_pool::Output::Crashed(task, crashes) => {
+                    self.crashes.insert(task, crashes);
+                }
                 celerywinch_pool::Output::Note(note) => out.push(Output::Dispatch(note)),
             }
         }
--- a/crates/celerywinch_pool/src/crashes.rs
+++ b/crates/celerywinch_pool/src/crashes.rs
@@ -3,7 +3,8 @@
 //! A worker that is gone ends all that was there, and one task of these may have ended it. Which one shows by where they start
 //! next: never two of them on one worker. A task is given up after a few; until a queue has been without such tasks for some
 //! seconds, its steps start with one task, and the others follow when that has been at work for a moment. So a step whose tasks all
-//! end their workers takes one at a time.
+//! end their workers takes one at a time. What one dispatcher knows the others are told, as the caller sends the job again to another
+//! origin, which may hand it to another dispatcher.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -97,6 +98,21 @@
         }
     }
 
+    /// Another dispatcher knows of workers that ended under a task.
+    pub(crate) fn learn_crashes(
+        &mut self,
+        now: Time,
+        told: Vec<(TaskId, Crashes)>,
+        out: &mut Vec<Output>,
+    ) {
+        for (task, crashes) in told {
+            let known = self.crashes.tasks.entry(task).or_default();
+            let together = known.0.with(crashes);
+            *known = (together, now);
+            self.take_crashes(now, task, together, out);
+        }
+    }
+
     fn count_crash(
         &mut self,
         now: Time,
@@ -108,6 +124,13 @@
         count(&mut known.0);
         known.1 = now;
         let crashes = known.0;
+        out.push(Output::Note(Note::Crashed { task, crashes }));
+        out.push(Output::Crashed(task, crashes));
+        self.take_crashes(now, task, crashes, out);
+    }
+
+    /// Acts on what is known of a task by now.
+    fn take_crashes(&mut self, now: Time, task: TaskId, crashes: Crashes, out: &mut Vec<Output>) {
         let batch = self.jobs.get(&(task.job, task.step)).copied();
         let Some(key) = batch else {
             return;
@@ -123,7 +146,6 @@
             self.crashes.careful.insert(queue, now + CAREFUL);
         }
         let origin = batch.origin;
-        out.push(Output::Note(Note::Crashed { task, crashes }));
         out.push(Output::Send(origin, WorkMsg::Crashed(task, crashes)));
         if waits {
             self.give_up(now, key, task.index, out);
--- a/crates/celerywinch_pool/src/lives.rs
+++ b/crates/celerywinch_pool/src/lives.rs
@@ -3,6 +3,8 @@
 //! Nothing of one life holds for another: its runs are over, its clock, its numbers of ends and the fencing token that it has
 //! seen begin anew. So each life has a key of its own, and what was asked of an earlier one is answered to nobody.
 
+use std::collections::BTreeMap;
+
 use celerywinch_types::{Incarnation, MOST_LIVES, Said, Time, WorkerNote, WorkerStage};
 
 use crate::call::RunningRow;
@@ -12,6 +14,30 @@
 use crate::worker::WorkerKey;
 use crate::{Departure, Note};
 
+/// So many lives of a worker are remembered beside the one that is known.
+const MOST_RUMOURS: usize = 4;
+
+/// The last words of lives of a worker, other than the one that is known.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Rumours(BTreeMap<Incarnation, WorkerNote>);
+
+impl Rumours {
+    fn keep(&mut self, note: WorkerNote) {
+        let life = note.said.incarnation;
+        let known = self.0.get(&life);
+        if known.is_none_or(|known| known.said < note.said) {
+            self.0.insert(life, note);
+        }
+        while self.0.len() > MOST_RUMOURS {
+            self.0.pop_first();
+        }
+    }
+
+    fn of(&self, life: Incarnation) -> Option<WorkerNote> {
+        self.0.get(&life).cloned()
+    }
+}
+
 impl Pool {
     /// Another life of a worker has begun.
     ///
@@ -48,7 +74,7 @@
         worker.pace = earlier.pace;
         // It counts again if it turns out to be the one that is there after all.
         worker.before = Some(loss);
-        worker.rumour = Some(earlier.note.clone());
+        worker.rumours.keep(earlier.note.clone());
         for run in runs {
             self.inherit(now, later, run, moved, out);
         }
@@ -67,9 +93,7 @@
         out: &mut Vec<Output>,
     ) {
         let worker = &self.workers[key];
-        let heard = worker.rumour.clone();
-        let heard = heard.filter(|note| note.said.incarnation == life);
-        let note = heard.unwrap_or_else(|| WorkerNote {
+        let note = worker.rumours.of(life).unwrap_or_else(|| WorkerNote {
             stage: WorkerStage::Ready,
             said: Said {
                 incarnation: life,
@@ -89,11 +113,7 @@
         note: WorkerNote,
         out: &mut Vec<Output>,
     ) {
-        let worker = &mut self.workers[key];
-        let later = |known: &WorkerNote| known.said < note.said;
-        if worker.rumour.as_ref().is_none_or(later) {
-            worker.rumour = Some(note);
-        }
+        self.workers[key].rumours.keep(note);
         self.check(key, out);
     }
 
--- a/crates/celerywinch_pool/src/pool.rs
+++ b/crates/celerywinch_pool/src/pool.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use celerywinch_types::{
-    Domain, Fence, Incarnation, InstanceId, JobId, Learned, Mechanism, RunNumber, TaskEnd, TaskId,
-    TaskNews, Time, WorkMsg, WorkerNote, WorkerStage,
+    Crashes, Domain, Fence, Incarnation, InstanceId, JobId, Learned, Mechanism, RunNumber, TaskEnd,
+    TaskId, TaskNews, Time, WorkMsg, WorkerNote, WorkerStage,
 };
 use slotmap::SlotMap;
 
@@ -58,6 +58,8 @@
     Answered(CallKey, Answer),
     /// An answer came after its time, so long after the call, without the time that the worker was to wait.
     AnsweredLate(Duration),
+    /// What other dispatchers know of workers that ended under tasks.
+    Crashes(Vec<(TaskId, Crashes)>),
     /// Whether any worker of a domain that is held can be reached: one that has nothing to do is
     /// asked, unless one has answered lately.
     Ask(Domain),
@@ -76,6 +78,8 @@
     Outbid(Domain),
     /// The fencing token of this domain is used up by a worker that has started again so often.
     UsedUp(Domain),
+    /// Workers have ended under a task; other dispatchers are to know.
+    Crashed(TaskId, Crashes),
     /// A decision for the logs.
     Note(Note),
 }
@@ -248,6 +252,7 @@
             Input::OriginLost(origin) => self.drop_origin(now, origin, out),
             Input::Answered(key, answer) => self.answered(now, key, answer, out),
             Input::AnsweredLate(took) => self.answers.learn(took),
+            Input::Crashes(told) => self.learn_crashes(now, told, out),
             Input::Ask(domain) => self.ask(now, domain, out),
             Input::Tick => self.tick(now, out),
         }
--- a/crates/celerywinch_pool/src/worker.rs
+++ b/crates/celerywinch_pool/src/worker.rs
@@ -10,6 +10,7 @@
 use crate::call::{CallKey, Question};
 use crate::config::{CLOCK_ERROR, LEASE_MARGIN, OLDEST_READING};
 use crate::leases::Loss;
+use crate::lives::Rumours;
 use crate::patience::Patience;
 use crate::run::RunKey;
 
@@ -40,8 +41,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Worker {
     pub(crate) note: WorkerNote,
-    /// What a life has said that counts as an earlier one, and whether it does is not known yet.
-    pub(crate) rumour: Option<WorkerNote>,
+    /// The last words of other lives. One of them may be the life that is there.
+    pub(crate) rumours: Rumours,
     /// How the life before this one ended, if there was one here.
     pub(crate) before: Option<Loss>,
     /// Whose dispatcher it obeys.
@@ -92,7 +93,7 @@
             domain: domain_of(&note, shards),
             used: Room::default(),
             note,
-            rumour: None,
+            rumours: Rumours::default(),
             before: None,
             grip: Grip::None,
             lives: 0,
--- a/crates/celerywinch_pool/tests/lives.rs
+++ b/crates/celerywinch_pool/tests/lives.rs
@@ -226,3 +226,19 @@
         "a successor's token is higher"
     );
 }
+
+/// A caller's task reaches a worker that leaves: its clock was set back, so the life that is there counts as an earlier one, and what
+/// a life that is long over had said comes late and takes the place of its notice.
+#[test]
+fn words_of_several_lives_are_kept_apart() {
+    let mut rig = Rig::new(Vec::new(), Vec::new());
+    rig.take(Input::Workers(vec![said(9, 20, WorkerStage::Ready)]));
+    rig.take(Input::Workers(vec![said(2, 3, WorkerStage::Draining)]));
+    rig.take(Input::Workers(vec![said(5, 30, WorkerStage::Ready)]));
+    for _ in 0..3 {
+        let look = rig.last(is_look);
+        rig.answer(&look, lists_of(2, Vec::new(), Vec::new()));
+    }
+    rig.submit(step(Doubt::None, 0));
+    assert_eq!(rig.count(is_start), 0);
+}
--- a/crates/celerywinch_types/src/crashes.rs
+++ b/crates/celerywinch_types/src/crashes.rs
@@ -8,56 +8,51 @@
 const MOST_PROVEN: u8 = 2;
 /// ... and so is one under which so many have ended or fallen silent. One more worker may be cut off, or gone for another reason; a
 /// caller's job with a task that found three of those in a row is late beyond use.
-const MOST_IN_ALL: u8 = 3;
+const MOST_SEEN: u8 = 3;
 /// From so many on the other tasks of its queue are started with care.
 const MANY: u8 = 2;
 
 domain! {
-    /// How often the worker of a task ended while the task was there.
+    /// How often the worker of a task ended while the task was there. Both numbers only rise, so that what two processes know
+    /// together is the higher of each.
     #[derive(Copy, Default)]
     pub struct Crashes {
-        /// It is back as another life, or another one is there.
+        /// Workers that have ended, or fell silent until their lease was over: those may be cut off.
+        pub seen: u8,
+        /// Those of them that have ended for certain: they are back as another life, or another worker is there.
         pub proven: u8,
-        /// It fell silent until its lease was over: it has crashed, or is cut off.
-        pub suspected: u8,
     }
 }
 
 impl Crashes {
-    /// All together.
-    #[must_use]
-    pub fn all(self) -> u8 {
-        self.proven.saturating_add(self.suspected)
-    }
-
     /// Whether a worker may have ended by the task.
     #[must_use]
     pub fn is_suspect(self) -> bool {
-        self.all() > 0
+        self.seen > 0
     }
 
     /// Whether it is likely that the task ends its workers.
     #[must_use]
     pub fn are_many(self) -> bool {
-        self.all() >= MANY
+        self.seen >= MANY
     }
 
     /// Whether the task is to be given up.
     #[must_use]
     pub fn suffice(self) -> bool {
-        self.proven >= MOST_PROVEN || self.all() >= MOST_IN_ALL
+        self.proven >= MOST_PROVEN || self.seen >= MOST_SEEN
     }
 
     /// One more worker fell silent.
     pub fn suspect(&mut self) {
-        self.suspected = self.suspected.saturating_add(1);
+        self.seen = self.seen.saturating_add(1);
     }
 
-    /// One more has ended; `suspected` if that was counted as silent before.
-    pub fn prove(&mut self, suspected: bool) {
+    /// One more has ended for certain; `seen` if it was counted as silent before.
+    pub fn prove(&mut self, seen: bool) {
         self.proven = self.proven.saturating_add(1);
-        if suspected {
-            self.suspected = self.suspected.saturating_sub(1);
+        if !seen {
+            self.suspect();
         }
     }
 
@@ -65,8 +60,8 @@
     #[must_use]
     pub fn with(self, other: Self) -> Self {
         Self {
+            seen: max(self.seen, other.seen),
             proven: max(self.proven, other.proven),
-            suspected: max(self.suspected, other.suspected),
         }
     }
 }
--- a/crates/celerywinch_types/src/fleet.rs
+++ b/crates/celerywinch_types/src/fleet.rs
@@ -369,4 +369,6 @@
     Work(WorkMsg),
     /// What a dispatcher has learned.
     Learned(Learned),
+    /// Workers that ended under tasks, as a dispatcher knows by now.
+    Crashes(Vec<(TaskId, Crashes)>),
 }
