A silence that ends between two ticks is noticed

What a process says while it is not heard is dropped, and asked for when it is heard again; but a heartbeat that came before the next tick hid the silence, so nobody asked. Now the heartbeat notices it.

--- a/crates/celerywinch_member/src/member.rs
+++ b/crates/celerywinch_member/src/member.rs
@@ -338,6 +338,12 @@
     }
 
     fn beat(&mut self, now: Time, from: Process, beat: Beat, out: &mut Vec<Output>) {
+        // Work of a process that is silent is dropped. Where it is heard again before the next tick its silence has to be noticed
+        // first, or neither side would ask for what was dropped, and a caller wait for it in vain.
+        let known = self.peers.get(from.instance);
+        if known.is_some_and(|view| !view.alive(now)) && self.alive.contains(&from.instance) {
+            self.compare_alive(now, out);
+        }
         let before = self.peers.get(from.instance);
         let life = before.map(|view| view.process.incarnation);
         let held = |beat: &Beat| -> Vec<_> {
--- a/crates/celerywinch_member/tests/origins.rs
+++ b/crates/celerywinch_member/tests/origins.rs
@@ -145,6 +145,28 @@
     assert!(out.contains(&resync), "{out:?}");
 }
 
+/// A caller waits until its deadline for a job that nobody has: its entry and its dispatcher do not hear each other for a moment, what
+/// the dispatcher gives back is dropped as of one that is lost, and a heartbeat comes before the tick that would notice the silence. So
+/// neither takes the other for lost, and nobody asks for what was dropped.
+#[test]
+fn silence_that_ends_between_two_ticks_is_noticed() {
+    let mut now = Time(1_000_000);
+    let mut member = member(now, Part::Entry);
+    let mut out = Vec::new();
+    member.handle(now, Input::Beat(process(2, 1), beat(now)), &mut out);
+    member.handle(now, Input::Tick, &mut out);
+    now = now + Duration::from_millis(360);
+    let msg = WorkMsg::Submit(order());
+    member.handle(now, Input::Work(process(2, 1), msg), &mut out);
+    assert!(!member.is_busy(), "dropped");
+    out.clear();
+    now = now + Duration::from_millis(1);
+    member.handle(now, Input::Beat(process(2, 1), beat(now)), &mut out);
+    let asks =
+        |output: &Output| matches!(output, Output::Send(_, FleetMsg::Work(WorkMsg::Resync(_))));
+    assert!(out.iter().any(asks), "{out:?}");
+}
+
 /// Workers stay idle while callers are refused: a keeper tells each new worker to the entries that it
 /// hears, and one whose heartbeat had not come yet, or that was silent for a moment, never learns of
 /// them. So the host hears of each process that is heard, for the first time and again.
