--- a/crates/celerywinch_bench/tests/members.rs
+++ b/crates/celerywinch_bench/tests/members.rs
@@ -197,3 +197,34 @@
     // Without counting what comes in above them, 10 to 19 of these were given up by their callers.
     assert!(scan.lost <= 3 && scan.late <= 3, "{scan:?}");
 }
+
+/// A caller waits until its deadline for a job that nobody has: its entry and its dispatcher did not hear each other for a moment, and
+/// neither noticed. So many entries that most hear each other rarely, with all that holds messages up.
+#[test]
+fn seed_that_left_a_job_behind() {
+    let seed = 7_310_047;
+    let mut classes = brief_classes();
+    classes.iter_mut().for_each(|class| class.timeout = 8_000);
+    let mut options = options(seed, 64_000);
+    options.entries = 24;
+    options.shard = [6, 6, 12][(seed % 3) as usize];
+    options.load.classes = classes;
+    options.load.lull = Some(Lull {
+        every: 30_000,
+        lasts: 26_000,
+        calm: 22_000,
+        factor: [0.05, 0.4, 0.1, 0.2][(seed / 4 % 4) as usize],
+    });
+    options.faults = Some(FaultPlan {
+        every: [900, 500, 300, 150][(seed % 4) as usize],
+        members: true,
+        workers: true,
+        clocks: seed % 5 >= 3,
+        held: true,
+        congested: true,
+        refused: true,
+        drift: true,
+        ..FaultPlan::default()
+    });
+    assert_eq!(run(options).violations, Vec::<Violation>::new());
+}
--- a/crates/celerywinch_pool/src/lives.rs
+++ b/crates/celerywinch_pool/src/lives.rs
@@ -15,20 +15,20 @@
 use crate::{Departure, Note};
 
 /// So many lives of a worker are remembered beside the one that is known.
-const MOST_RUMOURS: usize = 4;
+const MOST_OTHERS: usize = 4;
 
 /// The last words of lives of a worker, other than the one that is known.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Rumours(BTreeMap<Incarnation, WorkerNote>);
+pub(crate) struct OtherLives(BTreeMap<Incarnation, WorkerNote>);
 
-impl Rumours {
+impl OtherLives {
     fn keep(&mut self, note: WorkerNote) {
         let life = note.said.incarnation;
         let known = self.0.get(&life);
         if known.is_none_or(|known| known.said < note.said) {
             self.0.insert(life, note);
         }
-        while self.0.len() > MOST_RUMOURS {
+        while self.0.len() > MOST_OTHERS {
             self.0.pop_first();
         }
     }
@@ -72,9 +72,10 @@
         let later = self.add_worker(now, note, lives, out);
         let worker = &mut self.workers[later];
         worker.pace = earlier.pace;
-        // It counts again if it turns out to be the one that is there after all.
         worker.before = Some(loss);
-        worker.rumours.keep(earlier.note.clone());
+        worker.others = std::mem::take(&mut earlier.others);
+        // It counts again if it turns out to be the one that is there after all.
+        worker.others.keep(earlier.note.clone());
         for run in runs {
             self.inherit(now, later, run, moved, out);
         }
@@ -93,7 +94,7 @@
         out: &mut Vec<Output>,
     ) {
         let worker = &self.workers[key];
-        let note = worker.rumours.of(life).unwrap_or_else(|| WorkerNote {
+        let note = worker.others.of(life).unwrap_or_else(|| WorkerNote {
             stage: WorkerStage::Ready,
             said: Said {
                 incarnation: life,
@@ -113,7 +114,7 @@
         note: WorkerNote,
         out: &mut Vec<Output>,
     ) {
-        self.workers[key].rumours.keep(note);
+        self.workers[key].others.keep(note);
         self.check(key, out);
     }
 
--- a/crates/celerywinch_pool/src/worker.rs
+++ b/crates/celerywinch_pool/src/worker.rs
@@ -10,7 +10,7 @@
 use crate::call::{CallKey, Question};
 use crate::config::{CLOCK_ERROR, LEASE_MARGIN, OLDEST_READING};
 use crate::leases::Loss;
-use crate::lives::Rumours;
+use crate::lives::OtherLives;
 use crate::patience::Patience;
 use crate::run::RunKey;
 
@@ -42,7 +42,7 @@
 pub(crate) struct Worker {
     pub(crate) note: WorkerNote,
     /// The last words of other lives. One of them may be the life that is there.
-    pub(crate) rumours: Rumours,
+    pub(crate) others: OtherLives,
     /// How the life before this one ended, if there was one here.
     pub(crate) before: Option<Loss>,
     /// Whose dispatcher it obeys.
@@ -93,7 +93,7 @@
             domain: domain_of(&note, shards),
             used: Room::default(),
             note,
-            rumours: Rumours::default(),
+            others: OtherLives::default(),
             before: None,
             grip: Grip::None,
             lives: 0,
