--- a/crates/celerywinch_pool/tests/capacity.rs
+++ b/crates/celerywinch_pool/tests/capacity.rs
@@ -99,6 +99,9 @@
     };
     rig.take(Input::Work(rig::ORIGIN, cancel));
     assert_eq!(rig.count(is_stop), 1);
+    // From here on only its room keeps others away.
+    let stop = rig.last(is_stop);
+    rig.answer(&stop, Answer::Taken(clock()));
     submit(&mut rig, 80..81);
     assert_eq!(rig.count(is_start), 1, "the first one is still there");
     rig.answer(&look, lists(vec![row(1)], Vec::new()));
