A worker that was forgotten and is back is called under a higher token too

Traced (job): orders to worker-26 got no answer from 3.7 s on, it left at 7.5 s and was forgotten, with how often it had started again; its later life was called under the token of before, and obeyed an order of the life that had left, 2 to 6 s late. Test that fails before: orders_of_a_life_that_has_left_are_fenced_off.

--- a/crates/celerywinch_bench/tests/members_lives.rs
+++ b/crates/celerywinch_bench/tests/members_lives.rs
@@ -72,10 +72,12 @@
 }
 
 /// Seeds that once broke a promise. Clocks of workers were set back, so that the life that was there counted as earlier than one that
-/// had ended, and a word of a third one took the place of its notice (20194, 30053) or of its room (20063).
+/// had ended, and a word of a third one took the place of its notice (20194, 30053) or of its room (20063). A worker left, was forgotten, and came back to
+/// obey an order that was meant for the life that had left (61058).
 #[rstest]
 #[case(20063, ALL)]
 #[case(20194, ALL)]
+#[case(61058, ALL)]
 #[case(30053, FaultPlan { held: true, refused: true, drift: true, ..ALL })]
 fn seeds_that_failed_once(#[case] seed: u64, #[case] faults: FaultPlan) {
     let faults = FaultPlan {
--- a/crates/celerywinch_pool/src/leases.rs
+++ b/crates/celerywinch_pool/src/leases.rs
@@ -226,10 +226,11 @@
         for run in runs {
             self.lose_run(now, run, loss, out);
         }
-        if let Some(worker) = self.workers.remove(key)
-            && why == Departure::OtherLife
-        {
-            self.life_ended(now, &worker, out);
+        if let Some(worker) = self.workers.remove(key) {
+            self.forgotten.insert(id.clone(), (worker.lives, now));
+            if why == Departure::OtherLife {
+                self.life_ended(now, &worker, out);
+            }
         }
         self.names.remove(&id);
         self.forget_addr(addr);
--- a/crates/celerywinch_pool/src/lives.rs
+++ b/crates/celerywinch_pool/src/lives.rs
@@ -85,6 +85,17 @@
         }
     }
 
+    /// A worker is heard of that is not known. If it was forgotten lately, as it had left or was silent, an order to that life may
+    /// still be on its way, and would be obeyed under the same token.
+    pub(crate) fn add_unknown(&mut self, now: Time, note: WorkerNote, out: &mut Vec<Output>) {
+        let forgotten = self.forgotten.remove(&note.id);
+        let lives = forgotten.map_or(0, |(lives, _)| lives + 1);
+        let key = self.add_worker(now, note, lives, out);
+        if lives > MOST_LIVES {
+            out.push(Output::UsedUp(self.workers[key].domain));
+        }
+    }
+
     /// A list is of another life than the one that is known: that is the one that is there now, whatever was heard in which order.
     pub(crate) fn other_life_answers(
         &mut self,
--- a/crates/celerywinch_pool/src/pool.rs
+++ b/crates/celerywinch_pool/src/pool.rs
@@ -94,6 +94,8 @@
     pub(crate) names: BTreeMap<String, WorkerKey>,
     /// Workers that have left.
     left: BTreeMap<String, Left>,
+    /// How often workers that were forgotten had started again, and when that was.
+    pub(crate) forgotten: BTreeMap<String, (u64, Time)>,
     /// How many lives of workers are known at each address.
     pub(crate) addrs: BTreeMap<SocketAddr, usize>,
     pub(crate) batches: SlotMap<BatchKey, Batch>,
@@ -134,6 +136,7 @@
             workers: SlotMap::with_key(),
             names: BTreeMap::new(),
             left: BTreeMap::new(),
+            forgotten: BTreeMap::new(),
             addrs: BTreeMap::new(),
             batches: SlotMap::with_key(),
             jobs: BTreeMap::new(),
@@ -274,6 +277,8 @@
         self.told.retain(|_, told| told.is_kept(now));
         self.left
             .retain(|_, left| now.since(left.heard) <= REMEMBER_LEFT);
+        self.forgotten
+            .retain(|_, (_, at)| now.since(*at) <= REMEMBER_LEFT);
     }
 
     fn work(&mut self, now: Time, from: InstanceId, msg: WorkMsg, out: &mut Vec<Output>) {
@@ -296,7 +301,7 @@
             let left = self.left.get(&note.id);
             let has_left = left.is_some_and(|left| note.said.incarnation <= left.life);
             if !gone && !has_left {
-                self.add_worker(now, note, 0, out);
+                self.add_unknown(now, note, out);
             }
             return;
         };
--- a/crates/celerywinch_pool/tests/lives.rs
+++ b/crates/celerywinch_pool/tests/lives.rs
@@ -243,3 +243,20 @@
     rig.submit(step(Doubt::None, 0));
     assert_eq!(rig.count(is_start), 0);
 }
+
+/// A caller's task runs twice, or a worker is overloaded: a worker leaves with an order on its way that got no answer, and starts again
+/// under its name. Its dispatcher had forgotten it with the life that left, and calls the later one under the token of before, so
+/// that it obeys the order.
+#[test]
+fn orders_of_a_life_that_has_left_are_fenced_off() {
+    let mut rig = Rig::new(Vec::new(), Vec::new());
+    rig.submit(step(Doubt::None, 0));
+    let start = rig.last(is_start);
+    rig.answer(&start, Answer::Taken(clock()));
+    let look = rig.last(is_look);
+    rig.answer(&look, lists(Vec::new(), vec![ended(1, How::Done)]));
+    rig.take(Input::Workers(vec![said(1, 9, WorkerStage::Gone)]));
+    assert_eq!(rig.pool.known_workers(), 0);
+    rig.take(Input::Workers(vec![second_life()]));
+    assert!(rig.last(is_look).fence > start.fence);
+}
