Rejected streams between processes are logged and counted, with the incarnations that were compared

A process that refused a peer's streams (HTTP 409) or dropped what came on them logged nothing, and the peer logged 'Lost the link' without the status, so a peer that is refused and a peer that doesn't know the process looked the same: peer_lost, then nothing.

Now the refusing side writes stream_rejected (peer, incarnation, current) and counts celerywinch_rejected_streams_total; the refused side logs why a link cannot be opened, once for each reason in a row, with a hint for 401 and 409. The own path's timeline has Connection 'rejected'. No decision is changed.

--- a/crates/celerywinch_fleet/src/core.rs
+++ b/crates/celerywinch_fleet/src/core.rs
@@ -62,6 +62,8 @@
 pub(crate) enum CoreMsg {
     Peer(Process, FleetMsg),
     Accepted(Process),
+    /// A stream of the first was rejected, as the second is the current process of its instance.
+    Rejected(Process, Process),
     Link(InstanceId, LinkEvent),
     Submit(CallerId, NewJob, oneshot::Sender<JobEnd>),
     CallerGone(CallerId),
@@ -100,6 +102,12 @@
     Seeds {
         seeds: Vec<InstanceId>,
     },
+    /// A stream of a peer was rejected, as another one counts as its latest.
+    StreamRejected {
+        peer: InstanceId,
+        incarnation: Incarnation,
+        current: Incarnation,
+    },
     Announced {
         worker: String,
         said: Said,
@@ -363,6 +371,11 @@
         match msg {
             CoreMsg::Peer(from, msg) => self.peer(now, from, msg),
             CoreMsg::Accepted(from) => self.accepted(now, from),
+            CoreMsg::Rejected(from, current) => self.note(&CoreNote::StreamRejected {
+                peer: from.instance,
+                incarnation: from.incarnation,
+                current: current.incarnation,
+            }),
             CoreMsg::Link(peer, event) => self.link(now, peer, event),
             CoreMsg::Submit(caller, job, answer) => {
                 self.waiting.insert(caller, answer);
--- a/crates/celerywinch_fleet/src/links.rs
+++ b/crates/celerywinch_fleet/src/links.rs
@@ -46,6 +46,11 @@
         let _ = self.core.send(CoreMsg::Accepted(from));
     }
 
+    fn rejected(&self, from: Process, current: Process) {
+        self.metrics.rejected_streams.inc();
+        let _ = self.core.send(CoreMsg::Rejected(from, current));
+    }
+
     fn event(&self, peer: InstanceId, event: LinkEvent) {
         let _ = self.core.send(CoreMsg::Link(peer, event));
     }
--- a/crates/celerywinch_fleet/src/metrics.rs
+++ b/crates/celerywinch_fleet/src/metrics.rs
@@ -50,6 +50,7 @@
     worker_calls: IntCounterVec,
     announced: IntCounterVec,
     pub(crate) late_answers: IntCounter,
+    pub(crate) rejected_streams: IntCounter,
     documents: IntCounter,
     document_bytes: IntCounter,
     document_seconds: Histogram,
@@ -107,6 +108,10 @@
                 "late_answers_total",
                 "Answers of workers that came after they were waited for.",
             )?,
+            rejected_streams: meter.counter(
+                "rejected_streams_total",
+                "Streams of other processes that were rejected, as another one counts as the latest of its instance.",
+            )?,
             documents: meter.counter(
                 "documents_total",
                 "Copies of the configuration begun to be sent.",
--- a/crates/celerywinch_links/src/incoming.rs
+++ b/crates/celerywinch_links/src/incoming.rs
@@ -69,6 +69,9 @@
             Some(from) if opened(&from) => StatusCode::OK,
             Some(_) => StatusCode::CONFLICT,
         };
+        if status == StatusCode::CONFLICT {
+            reject(sender, &host, &streams);
+        }
         let taken = sender.filter(|_| status.is_success());
         let response = Response::builder().status(status).body(())?;
         let keep = respond.send_response(response, taken.is_none())?;
@@ -88,6 +91,16 @@
     Ok(())
 }
 
+/// Tells the host of a stream that is not its sender's last one.
+fn reject<M: Message, H: Host<M>>(sender: Option<Sender>, host: &H, streams: &Streams) {
+    let Some(from) = sender.map(|sender| sender.process) else {
+        return;
+    };
+    if let Some(current) = streams.borrow().current(from.instance) {
+        host.rejected(from, current);
+    }
+}
+
 /// Who sends, if the secret is the right one.
 fn identify(request: &Request<RecvStream>, config: &LinkConfig) -> Option<Sender> {
     let headers = request.headers();
@@ -123,6 +136,7 @@
         stream.flow_control().release_capacity(data.len())?;
         while let Some((stamp, msg)) = frame::decode(&mut buffer)? {
             if !streams.borrow().is_last(from.process, from.stream) {
+                reject(Some(from), host, streams);
                 bail!("its sender has opened a later stream");
             }
             host.observe(stamp);
--- a/crates/celerywinch_links/src/lib.rs
+++ b/crates/celerywinch_links/src/lib.rs
@@ -63,6 +63,9 @@
     /// A peer opened a stream; what it sent on an earlier one may be lost.
     fn accepted(&self, _from: Process) {}
 
+    /// A stream was rejected, as another one of its instance counts as the latest.
+    fn rejected(&self, _from: Process, _current: Process) {}
+
     /// Something happened to the link to a peer.
     fn event(&self, peer: InstanceId, event: LinkEvent);
 
--- a/crates/celerywinch_links/src/order.rs
+++ b/crates/celerywinch_links/src/order.rs
@@ -24,6 +24,16 @@
         *last == this
     }
 
+    /// The process whose stream counts as the last one of an instance.
+    #[must_use]
+    pub fn current(&self, instance: InstanceId) -> Option<Process> {
+        let (incarnation, _) = *self.last.get(&instance)?;
+        Some(Process {
+            instance,
+            incarnation,
+        })
+    }
+
     /// Whether a stream is the last one of its peer.
     #[must_use]
     pub fn is_last(&self, from: Process, stream: u64) -> bool {
--- a/crates/celerywinch_links/src/outgoing.rs
+++ b/crates/celerywinch_links/src/outgoing.rs
@@ -11,7 +11,7 @@
 use celerywinch_types::InstanceId;
 use h2::client::{Connection, SendRequest};
 use h2::{Ping, PingPong, SendStream};
-use http::{Method, Request};
+use http::{Method, Request, StatusCode};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -46,6 +46,8 @@
     peer: InstanceId,
     addr: SocketAddr,
     counts: Rc<Counts>,
+    /// Why the last attempt to open the link failed; empty after one that succeeded.
+    failure: String,
     messages: PhantomData<M>,
 }
 
@@ -71,15 +73,17 @@
             peer,
             addr,
             counts,
+            failure: String::new(),
             messages: PhantomData,
         }
     }
 
     /// Keeps a connection open and sends what comes.
-    pub(super) async fn run(self, mut inbox: UnboundedReceiver<LinkMsg<M>>) {
+    pub(super) async fn run(mut self, mut inbox: UnboundedReceiver<LinkMsg<M>>) {
         loop {
             match timeout(CONNECT, self.open()).await {
                 Ok(Ok(open)) => {
+                    self.failure.clear();
                     self.event(LinkEvent::Opened);
                     let opened = Instant::now();
                     match self.pump(open, &mut inbox).await {
@@ -95,6 +99,7 @@
                     }
                 }
                 Ok(Err(error)) => {
+                    self.log_failure(&error);
                     self.report(&error);
                     if !self.pause(&mut inbox).await {
                         return;
@@ -109,6 +114,15 @@
         }
     }
 
+    /// Logs why the link cannot be opened, once for each reason in a row: attempts are repeated without end.
+    fn log_failure(&mut self, error: &anyhow::Error) {
+        let failure = format!("{error:#}");
+        if failure != self.failure {
+            log::info!("link: Cannot open the link to {}: {failure}.", self.peer);
+            self.failure = failure;
+        }
+    }
+
     /// A refused connection shows that the process is gone; anything else may be the network.
     fn report(&self, error: &anyhow::Error) {
         let cause = error.downcast_ref::<std::io::Error>();
@@ -174,7 +188,7 @@
         let (response, stream) = sender.send_request(request, false)?;
         let status = response.await?.status();
         if !status.is_success() {
-            bail!("link: the peer answers {status}; do both use the same secret?");
+            bail!("link: the peer answers {status}; {}", hint(status));
         }
         Ok(stream)
     }
@@ -253,6 +267,15 @@
     }
 }
 
+/// What an answer to the request for a stream points to.
+fn hint(status: StatusCode) -> &'static str {
+    match status {
+        StatusCode::UNAUTHORIZED => "do both use the same secret?",
+        StatusCode::CONFLICT => "it takes this process for an earlier incarnation",
+        _ => "is it an instance of this deployment?",
+    }
+}
+
 async fn drive(connection: Connection<TcpStream, bytes::Bytes>, broken: UnboundedSender<()>) {
     let _ = connection.await;
     let _ = broken.send(());
--- a/crates/celerywinch_node/src/links.rs
+++ b/crates/celerywinch_node/src/links.rs
@@ -47,6 +47,13 @@
         self.core.send(input).context("link: the core is gone")
     }
 
+    fn rejected(&self, from: Process, _current: Process) {
+        self.timeline.write(Event::Connection {
+            peer: from.instance,
+            state: "rejected".into(),
+        });
+    }
+
     fn event(&self, peer: InstanceId, event: LinkEvent) {
         let state = match event {
             LinkEvent::Opened => "open",
