Tests, which fail: a process that starts again with its clock set back; a clock offset for tests

What callers see: after the keepers have started again with clocks behind, entries answer 200 on routes that were removed and 404 on routes that were added, for as long as they run; entries that start again themselves with clocks behind answer 503.

--- a/crates/celerywinch_fleet/src/clock.rs
+++ b/crates/celerywinch_fleet/src/clock.rs
@@ -12,15 +12,20 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     origin: u64,
+    /// Added to the time of day, in ms.
+    offset: i64,
 }
 
-impl Default for Clock {
-    fn default() -> Self {
-        Self { origin: micros() }
+impl Clock {
+    /// A clock that starts now and whose time of day is off by `offset` ms.
+    #[must_use]
+    pub fn new(offset: i64) -> Self {
+        Self {
+            origin: micros(),
+            offset,
+        }
     }
-}
 
-impl Clock {
     /// Time since the clock was made.
     #[must_use]
     pub fn now(&self) -> Time {
@@ -29,10 +34,11 @@
 
     /// The time of day.
     #[must_use]
-    pub fn wall() -> WallMs {
+    pub fn wall(&self) -> WallMs {
         let since = SystemTime::now().duration_since(UNIX_EPOCH);
         let millis = since.map_or(0, |span| span.as_millis());
-        WallMs(u64::try_from(millis).unwrap_or(u64::MAX))
+        let millis = u64::try_from(millis).unwrap_or(u64::MAX);
+        WallMs(millis.saturating_add_signed(self.offset))
     }
 }
 
--- a/crates/celerywinch_fleet/src/config.rs
+++ b/crates/celerywinch_fleet/src/config.rs
@@ -34,6 +34,8 @@
     pub tolerated: usize,
     /// The folder for what must last; keepers need one.
     pub folder: Option<PathBuf>,
+    /// Ms by which the time of day is off; other than 0 only in tests.
+    pub clock_offset: i64,
     /// Mechanisms of dispatching that are left out.
     pub without: Without,
 }
--- a/crates/celerywinch_fleet/src/core.rs
+++ b/crates/celerywinch_fleet/src/core.rs
@@ -185,10 +185,10 @@
 ///
 /// The address for links cannot be bound, or a disk cannot be used.
 pub async fn start(config: FleetConfig, port: Rc<dyn Port>) -> anyhow::Result<Fleet> {
-    let clock = Clock::default();
+    let clock = Clock::new(config.clock_offset);
     let me = Process {
         instance: config.instance,
-        incarnation: Incarnation(Clock::wall().0),
+        incarnation: Incarnation(clock.wall().0),
     };
     let (sender, inbox) = unbounded_channel();
     let listener = TcpListener::bind(config.links)
@@ -223,6 +223,7 @@
     ntex::rt::spawn(core.run(inbox));
     Ok(Fleet {
         core: sender,
+        clock,
         snapshot,
         metrics,
         callers: Arc::new(AtomicU64::new(1)),
@@ -264,8 +265,8 @@
             },
         };
         let mut core = Self {
-            member: Member::new(member, now, Clock::wall()),
-            journal: Journal::start(me)?,
+            member: Member::new(member, now, clock.wall()),
+            journal: Journal::start(me, clock)?,
             metrics,
             links: Links::new(host, links::config(me)),
             snapshot,
--- a/crates/celerywinch_fleet/src/handle.rs
+++ b/crates/celerywinch_fleet/src/handle.rs
@@ -7,10 +7,11 @@
 use arc_swap::ArcSwapOption;
 use celerywinch_origin::{CallerId, NewJob};
 use celerywinch_registry::Held;
-use celerywinch_types::{Incarnation, InstanceId, JobEnd, QueueBook, WorkerNote};
+use celerywinch_types::{Incarnation, InstanceId, JobEnd, QueueBook, WallMs, WorkerNote};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 
+use crate::Clock;
 use crate::core::CoreMsg;
 use crate::metrics::Metrics;
 
@@ -30,6 +31,7 @@
 #[derive(Clone, Debug)]
 pub struct Fleet {
     pub(crate) core: UnboundedSender<CoreMsg>,
+    pub(crate) clock: Clock,
     pub(crate) snapshot: Arc<Snapshot>,
     pub(crate) metrics: Metrics,
     pub(crate) callers: Arc<AtomicU64>,
@@ -87,6 +89,12 @@
         self.metrics.text()
     }
 
+    /// The time of day.
+    #[must_use]
+    pub fn wall(&self) -> WallMs {
+        self.clock.wall()
+    }
+
     /// How many jobs are open.
     #[must_use]
     pub fn open_jobs(&self) -> u64 {
--- a/crates/celerywinch_fleet/src/journal.rs
+++ b/crates/celerywinch_fleet/src/journal.rs
@@ -52,6 +52,7 @@
 /// Writes the lines of one process.
 pub(crate) struct Journal {
     me: Process,
+    clock: Clock,
     lines: SyncSender<Vec<u8>>,
     span: Time,
     written: [u32; 2],
@@ -59,7 +60,7 @@
 }
 
 impl Journal {
-    pub(crate) fn start(me: Process) -> anyhow::Result<Self> {
+    pub(crate) fn start(me: Process, clock: Clock) -> anyhow::Result<Self> {
         let (lines, receiver) = sync_channel(WAITING);
         thread::Builder::new()
             .name("journal".into())
@@ -68,6 +69,7 @@
             .context("journal: cannot start its thread")?;
         Ok(Self {
             me,
+            clock,
             lines,
             span: Time::default(),
             written: [0; 2],
@@ -102,7 +104,7 @@
 
     fn put<T: Serialize>(&mut self, part: &'static str, note: &T) {
         let line = Line {
-            at: Clock::wall(),
+            at: self.clock.wall(),
             instance: self.me.instance,
             life: self.me.incarnation,
             part,
--- /dev/null
+++ b/crates/celerywinch_links/tests/restart.rs
@@ -0,0 +1,88 @@
+//! Links of a peer that starts again.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use celerywinch_links::{Host, LinkConfig, LinkEvent, Links, listen};
+use celerywinch_types::{Incarnation, InstanceId, Process};
+use ntex::rt::{DefaultRuntime, System};
+use rstest::rstest;
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+const PEER: InstanceId = InstanceId(4);
+const RECEIVER: InstanceId = InstanceId(5);
+/// Attempts are repeated every 100 ms.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// Remembers the messages that arrive.
+#[derive(Clone, Default)]
+struct Recorder(Rc<RefCell<Vec<(Process, u32)>>>);
+
+impl Host<u32> for Recorder {
+    fn received(&self, from: Process, msg: u32) -> anyhow::Result<()> {
+        self.0.borrow_mut().push((from, msg));
+        Ok(())
+    }
+
+    fn event(&self, _peer: InstanceId, _event: LinkEvent) {}
+
+    fn stamp(&self) -> u64 {
+        0
+    }
+
+    fn observe(&self, _stamp: u64) {}
+
+    fn sent(&self, _msg: &u32, _bytes: usize) {}
+}
+
+fn config(instance: InstanceId, incarnation: u64) -> LinkConfig {
+    LinkConfig {
+        me: Process {
+            instance,
+            incarnation: Incarnation(incarnation),
+        },
+        secret: "secret".to_owned(),
+        window: 1 << 16,
+    }
+}
+
+/// Sends a message over new links until it arrives; false if it does not.
+async fn is_heard(from: LinkConfig, to: SocketAddr, msg: u32, receiver: &Recorder) -> bool {
+    let expected = (from.me, msg);
+    let mut links = Links::new(Recorder::default(), from);
+    links.open(RECEIVER, to);
+    let until = Instant::now() + PATIENCE;
+    while Instant::now() < until {
+        links.send(RECEIVER, msg);
+        sleep(Duration::from_millis(20)).await;
+        if receiver.0.borrow().contains(&expected) {
+            return true;
+        }
+    }
+    false
+}
+
+struct Restart {
+    before: u64,
+    after: u64,
+}
+
+/// A peer that starts again after its clock was set back is ignored for as long as the receiver runs.
+#[rstest]
+#[case::clock_goes_on(Restart { before: 7, after: 9 })]
+#[case::clock_set_back(Restart { before: 9, after: 7 })]
+#[case::same_reading(Restart { before: 7, after: 7 })]
+fn restarted_peer_is_heard(#[case] case: Restart) {
+    let system = System::build().name("restart").build(DefaultRuntime);
+    system.block_on(async move {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("its address");
+        let receiver = Recorder::default();
+        ntex::rt::spawn(listen(listener, receiver.clone(), config(RECEIVER, 1)));
+        assert!(is_heard(config(PEER, case.before), addr, 1, &receiver).await);
+        assert!(is_heard(config(PEER, case.after), addr, 2, &receiver).await);
+    });
+}
--- /dev/null
+++ b/crates/celerywinch_member/tests/restarts.rs
@@ -0,0 +1,74 @@
+//! Peers that start again.
+
+use std::collections::BTreeSet;
+
+use celerywinch_member::{Input, Member, MemberConfig, Output};
+use celerywinch_pool::PoolConfig;
+use celerywinch_types::{
+    Beat, DataCentreId, Fence, Incarnation, InstanceId, Part, Process, Stage, Time, WallMs,
+};
+use rstest::rstest;
+
+const DC: DataCentreId = DataCentreId(0);
+
+fn process(instance: u32, incarnation: u64) -> Process {
+    Process {
+        instance: InstanceId(instance),
+        incarnation: Incarnation(incarnation),
+    }
+}
+
+fn entry() -> Member {
+    let config = MemberConfig {
+        me: process(1, 1),
+        part: Part::Entry,
+        dc: DC,
+        dcs: BTreeSet::from([DC]),
+        shard: 32,
+        pool: PoolConfig::default(),
+    };
+    Member::new(config, Time(0), WallMs(1_700_000_000_000))
+}
+
+fn beat(version: u64, sent: u64) -> Beat {
+    Beat {
+        part: Part::Keeper,
+        dc: DC,
+        stage: Stage::Ready,
+        holdings: Vec::new(),
+        fence: Fence::default(),
+        version,
+        shards: 1,
+        sent: Time(sent),
+        echo: None,
+        every: 100,
+        wants: false,
+        probe: false,
+    }
+}
+
+struct Restart {
+    before: u64,
+    after: u64,
+}
+
+/// Heartbeats of a keeper that starts again after its clock was set back are dropped, and its entries go on with old routes.
+#[rstest]
+#[case::clock_goes_on(Restart { before: 7, after: 9 })]
+#[case::clock_set_back(Restart { before: 9, after: 7 })]
+fn heartbeats_of_a_restarted_peer_count(#[case] case: Restart) {
+    let mut entry = entry();
+    let mut out = Vec::new();
+    let before = Input::Beat(process(2, case.before), beat(5, 90_000_000));
+    entry.handle(Time(1_000_000), before, &mut out);
+    out.clear();
+    let present = process(2, case.after);
+    entry.handle(
+        Time(2_000_000),
+        Input::Beat(present, beat(6, 40_000)),
+        &mut out,
+    );
+    assert!(out.contains(&Output::NewPeer(present)), "{out:#?}");
+    let view = entry.peers().get(InstanceId(2)).expect("a known peer");
+    assert_eq!((view.process, view.beat.version), (present, 6));
+}
--- a/crates/celerywinchd/src/lib.rs
+++ b/crates/celerywinchd/src/lib.rs
@@ -4,9 +4,9 @@
 
 use anyhow::Context;
 use celerywinch_node::{Node, NodeOptions};
+use celerywinch_platform::Overrides;
 use celerywinch_settings::{Settings, load_settings};
 pub use celerywinch_types::ExitStatus;
-use celerywinch_types::Without;
 use getopts::{Matches, Options};
 use log::LevelFilter;
 use ntex::rt::{DefaultRuntime, System, SystemRunner};
@@ -29,8 +29,8 @@
         return usage(&options, &error.to_string());
     }
     if matches.opt_present("platform") {
-        return match without(&matches) {
-            Ok(without) => on_platform(without),
+        return match overrides(&matches) {
+            Ok(overrides) => on_platform(overrides),
             Err(error) => usage(&options, &format!("{error:#}")),
         };
     }
@@ -48,14 +48,22 @@
 }
 
 /// Runs on the users' platform, which names the settings file by a variable.
-fn on_platform(without: Without) -> ExitStatus {
+fn on_platform(overrides: Overrides) -> ExitStatus {
     let path = celerywinch_platform::settings_path();
-    finish(start_system().block_on(async move { celerywinch_platform::run(&path, without).await }))
+    let run = async move { celerywinch_platform::run(&path, overrides).await };
+    finish(start_system().block_on(run))
 }
 
-fn without(matches: &Matches) -> anyhow::Result<Without> {
+fn overrides(matches: &Matches) -> anyhow::Result<Overrides> {
     let names = matches.opt_str("without").unwrap_or_default();
-    names.parse().context("`--without`")
+    let offset = matches.opt_str("clock-offset");
+    let offset = offset.map(|text| text.parse()).transpose();
+    Ok(Overrides {
+        without: names.parse().context("`--without`")?,
+        clock_offset: offset
+            .context("`--clock-offset`: wanted whole ms, such as -30000")?
+            .unwrap_or(0),
+    })
 }
 
 fn start_system() -> SystemRunner {
@@ -92,6 +100,12 @@
         "with --platform: leave mechanisms of dispatching out, to measure their worth",
         "NAMES",
     );
+    options.optopt(
+        "",
+        "clock-offset",
+        "with --platform, on loopback addresses: shift the time of day, for tests",
+        "MS",
+    );
     options.optflag("h", "help", "show this text");
     options
 }
