A restarted process is known by the latest stream it has confirmed, not by its time of day

What callers saw: entries answered 200 on removed routes and 404 on added ones for as long as they ran, after the keepers had started again with clocks behind; entries that started again so answered 503.

Cause: a process was identified by its time of day at the start, and that number ordered the processes of one address, in the links (StreamOrder, HTTP 409) and for heartbeats (Peers::heard). With a clock that was set back the later process counted as the earlier one, and its peers dropped all it sent without a bound in time. Class: a wall clock reading used as a logical order.

Ruled out by the failing tests: a transfer that never ends, keepers that don't know the entry, an older log (with clocks that go on, the same restarts pass; with clocks behind, the entries reject the streams).

Change: a receiver answers the request for a stream with a ticket of its own count, and the stream counts when its sender has sent the ticket back; the latest confirmed ticket of an instance wins. Incarnations of fleet members are drawn (53 bits) and compared for equality only. Why it holds: tickets that are sent back were issued before their sender, or its successor, asked for the next stream, so no number of the sender is needed. The simulated deployment draws incarnations too, and drops what the links would.

The tests of StreamOrder are replaced: they numbered streams by their sender, which is the fault. Each earlier case has its counterpart by tickets; added are a late confirmation, and processes that are gone.

--- a/crates/celerywinch_bench/src/members/world.rs
+++ b/crates/celerywinch_bench/src/members/world.rs
@@ -1,6 +1,6 @@
 //! The simulated deployment.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use celerywinch_member::{Input, Member, MemberConfig, Output};
@@ -92,7 +92,7 @@
 #[derive(Clone, Debug)]
 pub(crate) enum Event {
     Tick(usize, u64),
-    Deliver(usize, u64, Process, FleetMsg),
+    Deliver(usize, u64, Source, FleetMsg),
     Order(usize, OnWay),
     LateOrder(usize, OnWay),
     Answer(usize, u64, CallKey, Answer),
@@ -121,6 +121,13 @@
     Admit,
 }
 
+/// Which process of a member has sent a message.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Source {
+    index: usize,
+    life: u64,
+}
+
 /// A member and its process.
 #[derive(Debug)]
 pub(crate) struct MemberHost {
@@ -131,6 +138,8 @@
     leaving: bool,
     /// What arrives while it is frozen.
     held: Vec<Event>,
+    /// The latest process of each other member that a message came from.
+    latest: BTreeMap<usize, u64>,
     pub(crate) backlog: Backlog,
     outgoing: Wire,
     incoming: Wire,
@@ -219,6 +228,7 @@
                 frozen: false,
                 leaving: false,
                 held: Vec::new(),
+                latest: BTreeMap::new(),
                 backlog: Backlog::default(),
                 outgoing: Wire::default(),
                 incoming: Wire::default(),
@@ -358,7 +368,15 @@
         }
     }
 
-    fn deliver_now(&mut self, index: usize, from: Process, msg: FleetMsg) {
+    /// Links drop what a process had sent that another one of its instance has replaced.
+    fn deliver_now(&mut self, index: usize, from: Source, msg: FleetMsg) {
+        let latest = self.members[index].latest.entry(from.index);
+        let latest = latest.or_insert(from.life);
+        if from.life < *latest {
+            return;
+        }
+        *latest = from.life;
+        let from = self.process(from);
         let input = match msg {
             FleetMsg::Beat(beat) => Input::Beat(from, beat),
             FleetMsg::Work(msg) => Input::Work(from, msg),
@@ -370,10 +388,13 @@
         self.input(index, input);
     }
 
-    pub(crate) fn process(&self, index: usize) -> Process {
+    /// The number of a process is drawn: that of a later one may be lower.
+    fn process(&self, source: Source) -> Process {
+        let Source { index, life } = source;
+        let drawn = score(self.options.seed, (index as u64) << 32 | life);
         Process {
-            instance: InstanceId(index as u32 + 1),
-            incarnation: Incarnation(self.members[index].life),
+            instance: instance(index),
+            incarnation: Incarnation(drawn),
         }
     }
 
@@ -431,8 +452,11 @@
             return;
         }
         let life = self.members[to].life;
-        let process = self.process(from);
-        let event = Event::Deliver(to, life, process, msg);
+        let source = Source {
+            index: from,
+            life: self.members[from].life,
+        };
+        let event = Event::Deliver(to, life, source, msg);
         if self.apart.divides(from, to) {
             self.apart.hold(self.now, from, to, event);
             return;
@@ -495,11 +519,12 @@
         host.frozen = false;
         host.leaving = false;
         host.held.clear();
+        host.latest.clear();
+        let life = host.life;
+        let me = self.process(Source { index, life });
+        let host = &self.members[index];
         let config = MemberConfig {
-            me: Process {
-                instance: InstanceId(index as u32 + 1),
-                incarnation: Incarnation(host.life),
-            },
+            me,
             part: Part::Entry,
             dc: DataCentreId(host.dc),
             dcs: (0..self.options.dcs).map(DataCentreId).collect(),
@@ -509,7 +534,6 @@
                 ..PoolConfig::default()
             },
         };
-        let life = host.life;
         let wall = WallMs(self.wall(index));
         self.members[index].member = Some(Member::new(config, self.now, wall));
         self.at(self.now + TICK, Event::Tick(index, life));
--- a/crates/celerywinch_domains/src/peers.rs
+++ b/crates/celerywinch_domains/src/peers.rs
@@ -59,13 +59,13 @@
 }
 
 impl Peers {
-    /// Takes a heartbeat after which the next is waited for as long as `window`; false if it is of an
-    /// earlier life than one that was heard, or older than the last one. One that was held up on an
-    /// earlier connection would else bring back what its sender held then.
+    /// Takes a heartbeat after which the next is waited for as long as `window`; false if it is older than the last one of
+    /// its sender, as it would bring back what that held then.
+    ///
+    /// Another incarnation than before has replaced that one: links drop what comes on an earlier stream.
     pub fn heard(&mut self, now: Time, from: Process, beat: Beat, window: Duration) -> bool {
-        let sent = |process: Process, beat: &Beat| (process.incarnation, beat.sent);
         let known = self.views.get(&from.instance);
-        if known.is_some_and(|view| sent(view.process, &view.beat) > sent(from, &beat)) {
+        if known.is_some_and(|view| view.process == from && view.beat.sent > beat.sent) {
             return false;
         }
         let view = PeerView {
--- a/crates/celerywinch_fleet/src/core.rs
+++ b/crates/celerywinch_fleet/src/core.rs
@@ -188,7 +188,7 @@
     let clock = Clock::new(config.clock_offset);
     let me = Process {
         instance: config.instance,
-        incarnation: Incarnation(clock.wall().0),
+        incarnation: draw_incarnation(),
     };
     let (sender, inbox) = unbounded_channel();
     let listener = TcpListener::bind(config.links)
@@ -230,6 +230,12 @@
     })
 }
 
+/// A number that no earlier process of this instance had. The time of day would be one only while no clock is set back, and an
+/// entry has no disk to count on. 53 bits, which all readers of JSON hold.
+fn draw_incarnation() -> Incarnation {
+    Incarnation(rand::random::<u64>() >> 11)
+}
+
 /// How many workers a dispatcher can take, by the cores that it has: 48 workers with 500 starts a
 /// second took a twentieth of a core, measured on the platform; a process should use a third at most of
 /// what it has for that, as callers' requests come in bursts. `link` is what its link carries, in bytes a second.
--- a/crates/celerywinch_links/src/frame.rs
+++ b/crates/celerywinch_links/src/frame.rs
@@ -6,11 +6,16 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::Ticket;
+
 /// The longest message, in bytes: a whole answer of a job of the largest size fits.
 const LONGEST: usize = 64 << 20;
 /// Bytes of the length.
 const LENGTH: usize = 4;
 
+/// Bytes of a ticket.
+const TICKET: usize = 8;
+
 fn config() -> Configuration {
     standard()
 }
@@ -33,6 +38,16 @@
     Ok(())
 }
 
+/// Appends the ticket that a stream begins with.
+pub(crate) fn encode_ticket(buffer: &mut BytesMut, ticket: Ticket) {
+    buffer.put_u64(ticket.0);
+}
+
+/// Takes the ticket that a stream begins with, once it is there.
+pub(crate) fn decode_ticket(buffer: &mut BytesMut) -> Option<Ticket> {
+    (buffer.len() >= TICKET).then(|| Ticket(buffer.get_u64()))
+}
+
 /// Takes the next whole message.
 pub(crate) fn decode<M: DeserializeOwned>(
     buffer: &mut BytesMut,
--- a/crates/celerywinch_links/src/incoming.rs
+++ b/crates/celerywinch_links/src/incoming.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
-use anyhow::{Context, bail};
+use anyhow::{Context, bail, ensure};
 use bytes::BytesMut;
 use celerywinch_types::{Incarnation, InstanceId, Process};
 use h2::RecvStream;
@@ -12,18 +12,18 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::{
-    Host, INCARNATION_HEADER, INSTANCE_HEADER, LinkConfig, Message, SECRET_HEADER, STREAM_HEADER,
-    StreamOrder, frame,
+    Host, INCARNATION_HEADER, INSTANCE_HEADER, LinkConfig, Message, SECRET_HEADER, StreamOrder,
+    TICKET_HEADER, Ticket, frame,
 };
 
-/// The last streams of all peers; links live on one thread.
+/// The latest streams of all instances; links live on one thread.
 type Streams = Rc<RefCell<StreamOrder>>;
 
 /// A stream and who sends on it.
 #[derive(Clone, Copy, Debug)]
 struct Sender {
     process: Process,
-    stream: u64,
+    ticket: Ticket,
 }
 
 /// Accepts links until the process ends; called on the core thread.
@@ -62,60 +62,39 @@
         .context("link: the HTTP/2 handshake failed")?;
     while let Some(accepted) = connection.accept().await {
         let (request, mut respond) = accepted?;
-        let sender = identify(&request, config);
-        let opened = |from: &Sender| streams.borrow_mut().open(from.process, from.stream);
-        let status = match sender {
-            None => StatusCode::UNAUTHORIZED,
-            Some(from) if opened(&from) => StatusCode::OK,
-            Some(_) => StatusCode::CONFLICT,
+        let Some(process) = identify(&request, config) else {
+            let response = Response::builder().status(StatusCode::UNAUTHORIZED);
+            respond.send_response(response.body(())?, true)?;
+            continue;
         };
-        if status == StatusCode::CONFLICT {
-            reject(sender, &host, &streams);
-        }
-        let taken = sender.filter(|_| status.is_success());
-        let response = Response::builder().status(status).body(())?;
-        let keep = respond.send_response(response, taken.is_none())?;
-        if let Some(from) = taken {
-            let (host, streams) = (host.clone(), streams.clone());
-            host.accepted(from.process);
-            ntex::rt::spawn(async move {
-                // Dropping the response would reset the stream.
-                let _keep = keep;
-                if let Err(error) = receive(request.into_body(), from, &host, &streams).await {
-                    let peer = from.process.instance;
-                    log::debug!("link: Receiving from {peer} ended: {error:#}.");
-                }
-            });
-        }
+        let ticket = streams.borrow_mut().issue();
+        let response = Response::builder().header(TICKET_HEADER, ticket.0);
+        let keep = respond.send_response(response.body(())?, false)?;
+        let (host, streams) = (host.clone(), streams.clone());
+        ntex::rt::spawn(async move {
+            // Dropping the response would reset the stream.
+            let _keep = keep;
+            let from = Sender { process, ticket };
+            if let Err(error) = receive(request.into_body(), from, &host, &streams).await {
+                let peer = process.instance;
+                log::debug!("link: Receiving from {peer} ended: {error:#}.");
+            }
+        });
     }
     Ok(())
 }
 
-/// Tells the host of a stream that is not its sender's last one.
-fn reject<M: Message, H: Host<M>>(sender: Option<Sender>, host: &H, streams: &Streams) {
-    let Some(from) = sender.map(|sender| sender.process) else {
-        return;
-    };
-    if let Some(current) = streams.borrow().current(from.instance) {
-        host.rejected(from, current);
-    }
-}
-
 /// Who sends, if the secret is the right one.
-fn identify(request: &Request<RecvStream>, config: &LinkConfig) -> Option<Sender> {
+fn identify(request: &Request<RecvStream>, config: &LinkConfig) -> Option<Process> {
     let headers = request.headers();
     let shown = headers.get(SECRET_HEADER)?.as_bytes();
     if !bool::from(shown.ct_eq(config.secret.as_bytes())) {
         log::warn!("link: Refused a link with a wrong secret.");
         return None;
     }
-    let process = Process {
+    Some(Process {
         instance: InstanceId(number(headers, INSTANCE_HEADER)?),
         incarnation: Incarnation(number(headers, INCARNATION_HEADER)?),
-    };
-    Some(Sender {
-        process,
-        stream: number(headers, STREAM_HEADER)?,
     })
 }
 
@@ -130,14 +109,21 @@
     streams: &Streams,
 ) -> anyhow::Result<()> {
     let mut buffer = BytesMut::new();
+    let mut confirmed = false;
     while let Some(data) = stream.data().await {
         let data = data?;
         buffer.extend_from_slice(&data);
         stream.flow_control().release_capacity(data.len())?;
+        if !confirmed {
+            let Some(ticket) = frame::decode_ticket(&mut buffer) else {
+                continue;
+            };
+            confirm(ticket, from, host, streams)?;
+            confirmed = true;
+        }
         while let Some((stamp, msg)) = frame::decode(&mut buffer)? {
-            if !streams.borrow().is_last(from.process, from.stream) {
-                reject(Some(from), host, streams);
-                bail!("its sender has opened a later stream");
+            if !streams.borrow().is_latest(from.process, from.ticket) {
+                return reject(from, host, streams);
             }
             host.observe(stamp);
             host.received(from.process, msg)?;
@@ -145,3 +131,29 @@
     }
     Ok(())
 }
+
+/// The sender has sent its ticket back, so it is there now, and the stream counts.
+fn confirm<M: Message, H: Host<M>>(
+    ticket: Ticket,
+    from: Sender,
+    host: &H,
+    streams: &Streams,
+) -> anyhow::Result<()> {
+    ensure!(
+        ticket == from.ticket,
+        "it begins with another ticket; do both run the same release?"
+    );
+    if !streams.borrow_mut().confirm(from.process, ticket) {
+        return reject(from, host, streams);
+    }
+    host.accepted(from.process);
+    Ok(())
+}
+
+/// Ends a stream that is not the latest of its instance.
+fn reject<M: Message, H: Host<M>>(from: Sender, host: &H, streams: &Streams) -> anyhow::Result<()> {
+    if let Some(current) = streams.borrow().current(from.process.instance) {
+        host.rejected(from.process, current);
+    }
+    bail!("a later stream of this instance is open")
+}
--- a/crates/celerywinch_links/src/lib.rs
+++ b/crates/celerywinch_links/src/lib.rs
@@ -23,15 +23,15 @@
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 
 pub use incoming::listen;
-pub use order::StreamOrder;
+pub use order::{StreamOrder, Ticket};
 
 /// The header with the shared secret.
 const SECRET_HEADER: &str = "celerywinch-secret";
 /// The headers that name the sender.
 const INSTANCE_HEADER: &str = "celerywinch-instance";
 const INCARNATION_HEADER: &str = "celerywinch-incarnation";
-/// The header with the sender's count of the streams that it opened on this link.
-const STREAM_HEADER: &str = "celerywinch-stream";
+/// The header of an answer with the ticket that the stream has to begin with.
+const TICKET_HEADER: &str = "celerywinch-ticket";
 
 /// What travels on links.
 pub trait Message: Serialize + DeserializeOwned + Send + 'static {}
@@ -53,7 +53,8 @@
 
 /// The process around the links.
 pub trait Host<M>: Clone + 'static {
-    /// A message arrived.
+    /// A message arrived, on the latest stream of its instance. Where another process of an instance is named than before,
+    /// it has replaced that one.
     ///
     /// # Errors
     ///
@@ -63,7 +64,7 @@
     /// A peer opened a stream; what it sent on an earlier one may be lost.
     fn accepted(&self, _from: Process) {}
 
-    /// A stream was rejected, as another one of its instance counts as the latest.
+    /// A stream was ended, as a later one of its instance is open.
     fn rejected(&self, _from: Process, _current: Process) {}
 
     /// Something happened to the link to a peer.
@@ -97,21 +98,12 @@
     Probe,
 }
 
-/// What all links of a process count.
-#[derive(Debug, Default)]
-struct Counts {
-    /// How many streams were opened, or tried. One count for all links: that of a link which was closed and
-    /// is opened again must not begin anew, or its peer would take its streams for earlier ones.
-    streams: Cell<u64>,
-    /// How many links there are.
-    links: Cell<u32>,
-}
-
 /// The links of a process.
 pub struct Links<M, H> {
     host: H,
     config: LinkConfig,
-    counts: Rc<Counts>,
+    /// How many links there are, for all of them.
+    count: Rc<Cell<u32>>,
     links: BTreeMap<InstanceId, UnboundedSender<LinkMsg<M>>>,
 }
 
@@ -121,7 +113,7 @@
         Self {
             host,
             config,
-            counts: Rc::default(),
+            count: Rc::default(),
             links: BTreeMap::new(),
         }
     }
@@ -136,7 +128,7 @@
         let link = outgoing::Link::new(
             self.host.clone(),
             self.config.clone(),
-            self.counts.clone(),
+            self.count.clone(),
             peer,
             addr,
         );
@@ -153,7 +145,7 @@
 
     fn count(&self) {
         let links = u32::try_from(self.links.len()).unwrap_or(u32::MAX);
-        self.counts.links.set(links);
+        self.count.set(links);
     }
 
     /// Whether there is a link, open or not.
--- a/crates/celerywinch_links/src/outgoing.rs
+++ b/crates/celerywinch_links/src/outgoing.rs
@@ -1,5 +1,6 @@
 //! The sending side of a link.
 
+use std::cell::Cell;
 use std::io::ErrorKind;
 use std::marker::PhantomData;
 use std::net::SocketAddr;
@@ -11,15 +12,15 @@
 use celerywinch_types::InstanceId;
 use h2::client::{Connection, SendRequest};
 use h2::{Ping, PingPong, SendStream};
-use http::{Method, Request, StatusCode};
+use http::{Method, Request, Response};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::{sleep, timeout};
 
 use crate::{
-    Counts, Host, INCARNATION_HEADER, INSTANCE_HEADER, LinkConfig, LinkEvent, LinkMsg, Message,
-    SECRET_HEADER, STREAM_HEADER, frame,
+    Host, INCARNATION_HEADER, INSTANCE_HEADER, LinkConfig, LinkEvent, LinkMsg, Message,
+    SECRET_HEADER, TICKET_HEADER, Ticket, frame,
 };
 
 /// How long opening a connection may take. A machine without power, or behind a cut, answers nothing, and
@@ -45,7 +46,8 @@
     config: LinkConfig,
     peer: InstanceId,
     addr: SocketAddr,
-    counts: Rc<Counts>,
+    /// How many links the process has.
+    count: Rc<Cell<u32>>,
     /// Why the last attempt to open the link failed; empty after one that succeeded.
     failure: String,
     messages: PhantomData<M>,
@@ -63,7 +65,7 @@
     pub(super) fn new(
         host: H,
         config: LinkConfig,
-        counts: Rc<Counts>,
+        count: Rc<Cell<u32>>,
         peer: InstanceId,
         addr: SocketAddr,
     ) -> Self {
@@ -72,7 +74,7 @@
             config,
             peer,
             addr,
-            counts,
+            count,
             failure: String::new(),
             messages: PhantomData,
         }
@@ -160,7 +162,7 @@
         let mut ping = ping;
         ping.ping(Ping::opaque()).await?;
         let used = Rc::new(Notify::new());
-        let links = self.counts.links.get();
+        let links = self.count.get();
         ntex::rt::spawn(watch(ping, links, used.clone(), broken_tx));
         Ok(Open {
             stream,
@@ -174,22 +176,24 @@
         mut sender: SendRequest<bytes::Bytes>,
     ) -> anyhow::Result<SendStream<bytes::Bytes>> {
         let me = self.config.me;
-        let stream = self.counts.streams.get() + 1;
-        self.counts.streams.set(stream);
         let request = Request::builder()
             .method(Method::POST)
             .uri(format!("http://{}/peer", self.addr))
             .header(SECRET_HEADER, &self.config.secret)
             .header(INSTANCE_HEADER, me.instance.0)
             .header(INCARNATION_HEADER, me.incarnation.0)
-            .header(STREAM_HEADER, stream)
             .body(())?;
         std::future::poll_fn(|cx| sender.poll_ready(cx)).await?;
-        let (response, stream) = sender.send_request(request, false)?;
-        let status = response.await?.status();
+        let (response, mut stream) = sender.send_request(request, false)?;
+        let response = response.await?;
+        let status = response.status();
         if !status.is_success() {
-            bail!("link: the peer answers {status}; {}", hint(status));
+            bail!("link: the peer answers {status}; do both use the same secret?");
         }
+        let ticket = ticket(&response).context("link: the peer's answer has no ticket")?;
+        let mut buffer = BytesMut::new();
+        frame::encode_ticket(&mut buffer, ticket);
+        stream.send_data(buffer.freeze(), false)?;
         Ok(stream)
     }
 
@@ -267,13 +271,10 @@
     }
 }
 
-/// What an answer to the request for a stream points to.
-fn hint(status: StatusCode) -> &'static str {
-    match status {
-        StatusCode::UNAUTHORIZED => "do both use the same secret?",
-        StatusCode::CONFLICT => "it takes this process for an earlier incarnation",
-        _ => "is it an instance of this deployment?",
-    }
+/// The ticket that a stream has to begin with.
+fn ticket<T>(response: &Response<T>) -> Option<Ticket> {
+    let value = response.headers().get(TICKET_HEADER)?;
+    value.to_str().ok()?.parse().ok().map(Ticket)
 }
 
 async fn drive(connection: Connection<TcpStream, bytes::Bytes>, broken: UnboundedSender<()>) {
--- a/crates/celerywinch_links/tests/order.rs
+++ b/crates/celerywinch_links/tests/order.rs
@@ -1,45 +1,98 @@
 //! Messages of connections that were given up.
 
-use celerywinch_links::StreamOrder;
+use celerywinch_links::{StreamOrder, Ticket};
 use celerywinch_types::{Incarnation, InstanceId, Process};
 use rstest::rstest;
 
-const FIRST_LIFE: Process = process(1);
-const SECOND_LIFE: Process = process(2);
+/// The clock of the second was set back: its number is lower.
+const FIRST: Process = process(9);
+const SECOND: Process = process(1);
 
-const fn process(life: u64) -> Process {
+const fn process(incarnation: u64) -> Process {
     Process {
         instance: InstanceId(4),
-        incarnation: Incarnation(life),
+        incarnation: Incarnation(incarnation),
     }
 }
 
+/// What happens to streams, in order; they are numbered as they are asked for, from 1 on.
+#[derive(Clone, Copy)]
+enum Step {
+    Asked,
+    Confirmed(Process, u64),
+}
+use Step::{Asked, Confirmed};
+
+struct Case {
+    steps: &'static [Step],
+    latest: (Process, u64),
+    dropped: &'static [(Process, u64)],
+}
+
 /// A task runs though its caller was told that it does not: the connection on which it was handed in
 /// falls silent, its sender opens another one and cancels the task there, and then the first one
-/// delivers what it held. What comes on a stream is taken only while the sender has opened no later one.
+/// delivers what it held.
 #[rstest]
-#[case::one_stream(&[(FIRST_LIFE, 1)], (FIRST_LIFE, 1), true)]
-#[case::replaced(&[(FIRST_LIFE, 1), (FIRST_LIFE, 2)], (FIRST_LIFE, 1), false)]
-#[case::replacement(&[(FIRST_LIFE, 1), (FIRST_LIFE, 2)], (FIRST_LIFE, 2), true)]
-#[case::accepted_in_another_order(&[(FIRST_LIFE, 2), (FIRST_LIFE, 1)], (FIRST_LIFE, 2), true)]
-#[case::earlier_life(&[(FIRST_LIFE, 9), (SECOND_LIFE, 1)], (FIRST_LIFE, 9), false)]
-#[case::later_life(&[(FIRST_LIFE, 9), (SECOND_LIFE, 1)], (SECOND_LIFE, 1), true)]
-fn only_the_last_stream_is_heard(
-    #[case] opened: &[(Process, u64)],
-    #[case] heard: (Process, u64),
-    #[case] taken: bool,
-) {
+#[case::one_stream(Case {
+    steps: &[Asked, Confirmed(FIRST, 1)],
+    latest: (FIRST, 1),
+    dropped: &[],
+})]
+#[case::replaced(Case {
+    steps: &[Asked, Confirmed(FIRST, 1), Asked, Confirmed(FIRST, 2)],
+    latest: (FIRST, 2),
+    dropped: &[(FIRST, 1)],
+})]
+#[case::given_up_before_its_answer(Case {
+    steps: &[Asked, Asked, Confirmed(FIRST, 1)],
+    latest: (FIRST, 1),
+    dropped: &[(FIRST, 2)],
+})]
+#[case::confirmed_late(Case {
+    steps: &[Asked, Asked, Confirmed(FIRST, 2), Confirmed(FIRST, 1)],
+    latest: (FIRST, 2),
+    dropped: &[(FIRST, 1)],
+})]
+#[case::restarted(Case {
+    steps: &[Asked, Confirmed(FIRST, 1), Asked, Confirmed(SECOND, 2)],
+    latest: (SECOND, 2),
+    dropped: &[(FIRST, 1)],
+})]
+#[case::confirmed_late_by_a_process_that_is_gone(Case {
+    steps: &[Asked, Asked, Confirmed(SECOND, 2), Confirmed(FIRST, 1)],
+    latest: (SECOND, 2),
+    dropped: &[(FIRST, 1)],
+})]
+#[case::asked_for_by_a_process_that_is_gone(Case {
+    steps: &[Asked, Confirmed(SECOND, 1), Asked],
+    latest: (SECOND, 1),
+    dropped: &[(FIRST, 2)],
+})]
+fn only_the_latest_stream_counts(#[case] case: Case) {
     let mut order = StreamOrder::default();
-    for (from, stream) in opened {
-        order.open(*from, *stream);
+    for step in case.steps {
+        match step {
+            Asked => {
+                order.issue();
+            }
+            Confirmed(from, ticket) => {
+                order.confirm(*from, Ticket(*ticket));
+            }
+        }
+    }
+    let (process, ticket) = case.latest;
+    assert!(order.is_latest(process, Ticket(ticket)));
+    assert_eq!(order.current(process.instance), Some(process));
+    for (process, ticket) in case.dropped {
+        assert!(!order.is_latest(*process, Ticket(*ticket)));
     }
-    assert_eq!(order.is_last(heard.0, heard.1), taken);
 }
 
-/// An attempt to connect that was given up may be accepted after the one that replaced it.
+/// A stream whose confirmation was held up is not told to the host as a new one.
 #[test]
-fn earlier_stream_is_not_opened_after_a_later_one() {
+fn late_confirmation_is_refused() {
     let mut order = StreamOrder::default();
-    assert!(order.open(FIRST_LIFE, 2));
-    assert!(!order.open(FIRST_LIFE, 1));
+    let (first, second) = (order.issue(), order.issue());
+    assert!(order.confirm(SECOND, second));
+    assert!(!order.confirm(FIRST, first));
 }
--- a/crates/celerywinch_types/src/id.rs
+++ b/crates/celerywinch_types/src/id.rs
@@ -12,7 +12,10 @@
     /// A data centre, numbered in the settings.
     pub struct DataCentreId(pub u8);
 
-    /// One life of a process; a later life of the same instance has a greater number.
+    /// Tells the processes apart that run one after the other at one instance.
+    ///
+    /// Where numbers are kept on a disk, or are the worker's own, a later one is greater. Members of a fleet draw theirs: which
+    /// of two is the later is known from the links alone.
     #[derive(Default)]
     pub struct Incarnation(pub u64);
 }
