Fencing tokens pass what workers have seen in a few rounds, however far clocks were set back

Change: the leap grows by 16 at each further round. Weighed: keepers write the highest token to their disks (more state, for a loss of all with clocks behind only).

--- a/crates/celerywinch_domains/src/domains.rs
+++ b/crates/celerywinch_domains/src/domains.rs
@@ -25,9 +25,13 @@
 /// of reach. Idle ones may not have been called for minutes; several are asked within the time, one
 /// after the other.
 const ASKED: Duration = Duration::from_millis(650);
-/// Added to the epoch when workers know a higher one: past any that can have been drawn from a
-/// clock that was ahead.
+/// Added to the epoch when workers know a higher one than anybody tells of: past any that can have been drawn from a
+/// clock that was hours ahead, ...
 const EPOCH_LEAP: u64 = 10_000;
+/// ... and so many times as much at each further time, as a clock may be off by years.
+const LEAP_GROWTH: u64 = 16;
+/// The longest leap: an eighth of what a token holds.
+const LONGEST_LEAP: u64 = 1 << 40;
 
 /// This entry.
 #[derive(Clone, Copy, Debug)]
@@ -62,6 +66,8 @@
     held: BTreeMap<Domain, Fence>,
     /// The highest fencing token that was heard of.
     top: Fence,
+    /// How far the epoch leaps the next time that workers know a higher one.
+    leap: u64,
     listens_from: Time,
     /// Since when a process of each data centre is heard without a break.
     heard: BTreeMap<DataCentreId, Time>,
@@ -84,6 +90,7 @@
             unsettled: false,
             held: BTreeMap::new(),
             top: Fence::new(epoch, 0),
+            leap: EPOCH_LEAP,
             listens_from: now,
             heard: BTreeMap::new(),
             silent: BTreeMap::new(),
@@ -152,7 +159,8 @@
         // is gone, and if none told of it, that had a clock ahead of this one.
         self.listens_from = self.listens_from.max(now + OUTBID_WAIT - LISTEN);
         if self.top <= fence {
-            self.top = Fence::new(fence.epoch() + EPOCH_LEAP, 0);
+            self.top = Fence::new(fence.epoch() + self.leap, 0);
+            self.leap = (self.leap * LEAP_GROWTH).min(LONGEST_LEAP);
         }
     }
 
--- a/crates/celerywinch_domains/tests/holders.rs
+++ b/crates/celerywinch_domains/tests/holders.rs
@@ -235,3 +235,34 @@
     }
     assert_eq!(rig.held(), held);
 }
+
+struct Behind {
+    epoch: u64,
+    rounds: usize,
+}
+
+/// No task is started for hours after all processes have lost power, as their clocks are behind by years and workers have seen
+/// the fencing tokens of before.
+#[rstest]
+#[case::by_an_hour(Behind { epoch: WALL.0 / 1000 + 3_600, rounds: 1 })]
+#[case::by_days(Behind { epoch: WALL.0 / 1000 + 400_000, rounds: 3 })]
+#[case::by_decades(Behind { epoch: WALL.0 / 1000 + 1_800_000_000, rounds: 6 })]
+fn tokens_pass_what_workers_have_seen(#[case] behind: Behind) {
+    let mut rig = Rig::new();
+    let seen = Fence::new(behind.epoch, 0);
+    for round in 0.. {
+        for _ in 0..20 {
+            rig.hear(101, beat(1, Part::Keeper, &[]));
+            rig.tick();
+        }
+        let fence = rig.domains.held()[&domain(0)];
+        if fence > seen {
+            return;
+        }
+        assert!(round < behind.rounds, "still outbid, at {fence:?}");
+        let mut out = Vec::new();
+        for domain in rig.domains.held().clone().into_keys() {
+            rig.domains.outbid(rig.now, domain, &mut out);
+        }
+    }
+}
