--- a/crates/celerywinch_domains/src/domains.rs
+++ b/crates/celerywinch_domains/src/domains.rs
@@ -29,9 +29,9 @@
 /// clock that was hours ahead, ...
 const EPOCH_LEAP: u64 = 10_000;
 /// ... and so many times as much at each further time, as a clock may be off by years.
-const LEAP_GROWTH: u64 = 16;
-/// The longest leap: an eighth of what a token holds.
-const LONGEST_LEAP: u64 = 1 << 40;
+const LEAP_GROWTH: u64 = 4;
+/// Leaps end here: with a higher epoch a token would have more than the 53 bits that all readers of JSON hold.
+const LAST_LEAP: u64 = (1 << 32) - (1 << 24);
 
 /// This entry.
 #[derive(Clone, Copy, Debug)]
@@ -159,8 +159,9 @@
         // is gone, and if none told of it, that had a clock ahead of this one.
         self.listens_from = self.listens_from.max(now + OUTBID_WAIT - LISTEN);
         if self.top <= fence {
-            self.top = Fence::new(fence.epoch() + self.leap, 0);
-            self.leap = (self.leap * LEAP_GROWTH).min(LONGEST_LEAP);
+            let epoch = (fence.epoch() + self.leap).min(LAST_LEAP);
+            self.top = self.top.max(Fence::new(epoch, 0));
+            self.leap = self.leap.saturating_mul(LEAP_GROWTH);
         }
     }
 
