--- a/crates/celerywinch_bench/src/members/lives.rs
+++ b/crates/celerywinch_bench/src/members/lives.rs
@@ -121,6 +121,7 @@
         let host = &mut self.workers[index];
         host.lives += 1;
         host.up = true;
+        (host.since, host.called) = (now, false);
         let id = if keeps {
             host.worker.id.clone()
         } else {
@@ -205,11 +206,11 @@
         self.say_again(index);
     }
 
-    /// Whether an order reaches a later life than it was sent to, which was not called yet. Nothing at a dispatcher can keep that
-    /// life from obeying it.
+    /// Whether an order reaches a later life than it was sent to, to which no call that was sent since it began has come yet.
+    /// Nothing at a dispatcher can keep that life from obeying it.
     pub(crate) fn beats_the_first_call(&self, index: usize, call: &Call) -> bool {
         let host = &self.workers[index];
-        self.keeps_names() && !host.worker.was_called() && matches!(call.order, Order::Start { .. })
+        self.keeps_names() && !host.called && matches!(call.order, Order::Start { .. })
     }
 
     /// A start was carried out: whether it should have been, and what it does to the worker.
--- a/crates/celerywinch_bench/src/members/workers.rs
+++ b/crates/celerywinch_bench/src/members/workers.rs
@@ -42,6 +42,9 @@
     pub(crate) dc: u8,
     pub(crate) up: bool,
     pub(crate) lives: u32,
+    /// When this life began, and whether a call that was sent since then was carried out in it.
+    pub(crate) since: Time,
+    pub(crate) called: bool,
     /// Calls are lost until then.
     pub(crate) loses: Time,
     /// Orders are carried out late, and not answered, until then.
@@ -137,7 +140,7 @@
                 return;
             }
         }
-        let answer = self.carry_out(index, &way.call);
+        let answer = self.carry_out_sent(index, &way);
         self.reply(index, &way, answer);
     }
 
@@ -161,7 +164,11 @@
         if let Order::Look { cursor, .. } = &mut call.order {
             *cursor = 0;
         }
-        self.carry_out(index, &call);
+        let way = OnWay {
+            call,
+            ..way.clone()
+        };
+        self.carry_out_sent(index, &way);
     }
 
     pub(crate) fn carry_out(&mut self, index: usize, call: &Call) -> Answer {
@@ -184,6 +191,13 @@
         answer
     }
 
+    /// Carries a call out, and remembers if it was sent to this life.
+    pub(crate) fn carry_out_sent(&mut self, index: usize, way: &OnWay) -> Answer {
+        let host = &mut self.workers[index];
+        host.called |= way.since >= host.since;
+        self.carry_out(index, &way.call)
+    }
+
     fn work_of(&self, task: TaskId) -> (Room, Duration) {
         let job = self.jobs.iter().rev().find(|job| job.id == task.job);
         let job = job.expect("a task of a job");
--- a/crates/celerywinch_bench/src/members/world.rs
+++ b/crates/celerywinch_bench/src/members/world.rs
@@ -257,6 +257,8 @@
                 dc: (index % u32::from(world.options.dcs)) as u8,
                 up: true,
                 lives: 0,
+                since: Time(0),
+                called: false,
                 loses: Time(0),
                 late: Time(0),
                 mute: Time(0),
@@ -304,7 +306,7 @@
             Event::Order(worker, way) => self.ordered(worker, way),
             Event::LateOrder(worker, way) => {
                 if self.workers[worker].up && !self.beats_the_first_call(worker, &way.call) {
-                    self.carry_out(worker, &way.call);
+                    self.carry_out_sent(worker, &way);
                 }
             }
             Event::Arrive(class) => self.arrive(class),
--- a/crates/celerywinch_bench/tests/members_lives.rs
+++ b/crates/celerywinch_bench/tests/members_lives.rs
@@ -78,6 +78,7 @@
 #[case(20063, ALL)]
 #[case(20194, ALL)]
 #[case(61058, ALL)]
+#[case(15000058, ALL)]
 #[case(30053, FaultPlan { held: true, refused: true, drift: true, ..ALL })]
 fn seeds_that_failed_once(#[case] seed: u64, #[case] faults: FaultPlan) {
     let faults = FaultPlan {
