A connection that its peer has answered is given a second to accept a stream

Cause: an attempt to open a link was given up 300 ms after its start, whatever had been answered by then, and begun anew after 100 ms; where 63 processes open 3,906 links at once and none has time for all, each attempt costs both sides and few are finished.

Change: 300 ms hold for connecting only, as before (a machine without power must be tried again soon); for the peer's acceptance there is 1 s. Attempts that run out of time are logged with the others.

Evidence: busy_peer_is_waited_for (two round trips of 300 ms) fails on the code before and passes.

--- a/crates/celerywinch_links/src/outgoing.rs
+++ b/crates/celerywinch_links/src/outgoing.rs
@@ -23,11 +23,14 @@
     SECRET_HEADER, TICKET_HEADER, Ticket, frame,
 };
 
-/// How long opening a connection may take. A machine without power, or behind a cut, answers nothing, and
+/// How long connecting may take. A machine without power, or behind a cut, answers nothing, and
 /// the system sends the opening packet again only after 1 s: what was begun before the machine is
-/// back must be given up, or a peer is found up to that time later than it could be. Opening one
+/// back must be given up, or a peer is found up to that time later than it could be. Connecting
 /// takes 10 ms between data centres, and tens of ms on a small machine that is busy.
 const CONNECT: Duration = Duration::from_millis(300);
+/// How long the peer may take to accept a stream on a connection. Its machine has answered, so it is busy; where many processes
+/// start at once and none has time for all, to begin anew only adds to that.
+const ACCEPT: Duration = Duration::from_secs(1);
 /// Between two attempts.
 const PAUSE: Duration = Duration::from_millis(100);
 /// Between two pings on a link in use, at least, ...
@@ -83,8 +86,8 @@
     /// Keeps a connection open and sends what comes.
     pub(super) async fn run(mut self, mut inbox: UnboundedReceiver<LinkMsg<M>>) {
         loop {
-            match timeout(CONNECT, self.open()).await {
-                Ok(Ok(open)) => {
+            match self.open().await {
+                Ok(open) => {
                     self.failure.clear();
                     self.event(LinkEvent::Opened);
                     let opened = Instant::now();
@@ -100,18 +103,13 @@
                         }
                     }
                 }
-                Ok(Err(error)) => {
+                Err(error) => {
                     self.log_failure(&error);
                     self.report(&error);
                     if !self.pause(&mut inbox).await {
                         return;
                     }
                 }
-                Err(_) => {
-                    if !self.pause(&mut inbox).await {
-                        return;
-                    }
-                }
             }
         }
     }
@@ -146,7 +144,13 @@
     }
 
     async fn open(&self) -> anyhow::Result<Open> {
-        let socket = TcpStream::connect(self.addr).await?;
+        let socket = timeout(CONNECT, TcpStream::connect(self.addr)).await;
+        let socket = socket.context("link: no connection in time")??;
+        let open = timeout(ACCEPT, self.open_stream(socket)).await;
+        open.context("link: no stream in time")?
+    }
+
+    async fn open_stream(&self, socket: TcpStream) -> anyhow::Result<Open> {
         socket.set_nodelay(true)?;
         let (sender, mut connection) = h2::client::Builder::new()
             .initial_window_size(self.config.window)
@@ -253,16 +257,15 @@
 
     /// Opens a new connection while the old one is silent, and uses it if it answers.
     async fn replace(&self, old: Open) -> anyhow::Result<Open> {
-        match timeout(CONNECT, self.open()).await {
-            Ok(Ok(new)) => {
+        match self.open().await {
+            Ok(new) => {
                 self.event(LinkEvent::Replaced);
                 Ok(new)
             }
-            Ok(Err(error)) => {
+            Err(error) => {
                 self.report(&error);
                 Ok(old)
             }
-            Err(_) => Ok(old),
         }
     }
 
--- a/crates/celerywinch_links/tests/restart.rs
+++ b/crates/celerywinch_links/tests/restart.rs
@@ -1,4 +1,4 @@
-//! Links of a peer that starts again.
+//! Links of a peer that starts again, or is busy.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -9,7 +9,8 @@
 use celerywinch_types::{Incarnation, InstanceId, Process};
 use ntex::rt::{DefaultRuntime, System};
 use rstest::rstest;
-use tokio::net::TcpListener;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
 const PEER: InstanceId = InstanceId(4);
@@ -86,3 +87,41 @@
         assert!(is_heard(config(PEER, case.after), addr, 2, &receiver).await);
     });
 }
+
+/// What a busy peer takes for each piece that it gets or sends: opening a stream takes two round trips.
+const BUSY: Duration = Duration::from_millis(150);
+
+/// Processes that start together on busy machines never reach each other, as each gives up what the other was about to answer and
+/// begins anew.
+#[test]
+fn busy_peer_is_waited_for() {
+    let system = System::build().name("busy").build(DefaultRuntime);
+    system.block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let target = listener.local_addr().expect("its address");
+        let receiver = Recorder::default();
+        ntex::rt::spawn(listen(listener, receiver.clone(), config(RECEIVER, 1)));
+        let busy = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = busy.local_addr().expect("its address");
+        ntex::rt::spawn(async move {
+            while let Ok((socket, _)) = busy.accept().await {
+                let peer = TcpStream::connect(target).await.expect("the peer");
+                let (from_caller, to_caller) = socket.into_split();
+                let (from_peer, to_peer) = peer.into_split();
+                ntex::rt::spawn(pass_slowly(from_caller, to_peer));
+                ntex::rt::spawn(pass_slowly(from_peer, to_caller));
+            }
+        });
+        assert!(is_heard(config(PEER, 7), addr, 1, &receiver).await);
+    });
+}
+
+async fn pass_slowly(mut from: impl AsyncRead + Unpin, mut to: impl AsyncWrite + Unpin) {
+    let mut buffer = vec![0; 64 << 10];
+    while let Ok(count) = from.read(&mut buffer).await {
+        sleep(BUSY).await;
+        if count == 0 || to.write_all(&buffer[..count]).await.is_err() {
+            return;
+        }
+    }
+}
