Own path: an entry without a disk is heard after a restart though its clock was set back

What callers see: an entry of the product's own path that has no disk starts again with a clock that is behind; its peers ignore all it sends until the clock has caught up, and whoever waits for a key that the earlier process held waits until the entry counts as dead.

Cause: Peers::heard dropped what came of a lower incarnation. The ones before are remembered (16), and count as gone whatever their numbers.

--- a/crates/celerywinch_bench/src/soak/world.rs
+++ b/crates/celerywinch_bench/src/soak/world.rs
@@ -1,7 +1,7 @@
 //! The driver of a run.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -98,6 +98,18 @@
     frozen: Vec<Event>,
     is_frozen: bool,
     waiters: HashMap<WaiterId, Key>,
+    /// The latest process of each other instance that a message came from.
+    latest: BTreeMap<InstanceId, Incarnation>,
+}
+
+impl Node {
+    /// Links drop what a process had sent that another one of its instance has replaced.
+    fn accepts(&mut self, from: Process) -> bool {
+        let latest = self.latest.entry(from.instance);
+        let latest = latest.or_insert(from.incarnation);
+        *latest = from.incarnation.max(*latest);
+        *latest == from.incarnation
+    }
 }
 
 struct World {
@@ -147,6 +159,7 @@
                     frozen: Vec::new(),
                     is_frozen: false,
                     waiters: HashMap::new(),
+                    latest: BTreeMap::new(),
                 });
             }
         }
@@ -218,6 +231,9 @@
         }
         match event {
             Event::Deliver(node, from, msg) => {
+                if !self.nodes[node].accepts(from) {
+                    return;
+                }
                 if self.options.follow.is_some() {
                     let to = self.nodes[node].id;
                     let from = (from.instance.0, from.incarnation.0);
@@ -273,6 +289,7 @@
             return;
         }
         self.nodes[index].life += 1;
+        self.nodes[index].latest.clear();
         let config = self.config(&self.nodes[index]);
         let entry = Entry::new(config, self.now);
         self.nodes[index].entry = Some(entry);
--- a/crates/celerywinch_members/src/peers.rs
+++ b/crates/celerywinch_members/src/peers.rs
@@ -1,6 +1,6 @@
 //! Liveness of the other instances.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use celerywinch_types::{DataCentreId, Heartbeat, Incarnation, InstanceId, Time, WallMs};
@@ -29,6 +29,9 @@
     }
 }
 
+/// So many earlier incarnations of a peer are remembered.
+const MOST_FORMER: usize = 16;
+
 /// What is believed of a peer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PeerState {
@@ -49,8 +52,11 @@
     pub dc: DataCentreId,
     /// What is believed of it.
     pub state: PeerState,
-    /// The greatest incarnation heard of.
+    /// The present incarnation, as far as it was heard.
     pub incarnation: Incarnation,
+    /// Those before it, the last one at the end. Their numbers may be greater: an entry without a disk reads its own from a
+    /// clock that may be set back.
+    former: VecDeque<Incarnation>,
     /// When it was last heard from.
     pub heard: Time,
     /// Whether it hears this instance: false tells of a one-way loss.
@@ -141,12 +147,16 @@
     /// Whether a certain life of a peer is over, as far as is known.
     #[must_use]
     pub fn gone(&self, id: InstanceId, incarnation: Incarnation) -> bool {
-        self.peers
-            .get(&id)
-            .is_some_and(|peer| peer.incarnation > incarnation || peer.state == PeerState::Dead)
+        self.peers.get(&id).is_some_and(|peer| {
+            peer.state == PeerState::Dead
+                || peer.incarnation > incarnation
+                || peer.former.contains(&incarnation)
+        })
     }
 
     /// Takes any message as a sign of life of the sender's incarnation.
+    ///
+    /// Another incarnation than before has replaced that one: links drop what comes on an earlier stream.
     pub fn heard(
         &mut self,
         now: Time,
@@ -157,13 +167,13 @@
         let Some(peer) = self.peers.get_mut(&from) else {
             return;
         };
-        // A late message of an earlier life says nothing about the present one.
-        if incarnation < peer.incarnation {
-            return;
-        }
-        if incarnation > peer.incarnation {
+        if incarnation != peer.incarnation {
             let first = peer.incarnation == Incarnation(0);
+            if !first {
+                peer.retire();
+            }
             peer.incarnation = incarnation;
+            peer.former.retain(|former| *former != incarnation);
             peer.stopping = false;
             peer.sequence = 0;
             peer.met = false;
@@ -263,6 +273,7 @@
             dc,
             state: PeerState::Unknown,
             incarnation: Incarnation(0),
+            former: VecDeque::new(),
             heard: Time::default(),
             hears: false,
             stopping: false,
@@ -279,6 +290,14 @@
         }
     }
 
+    /// Another incarnation takes the place of the present one.
+    fn retire(&mut self) {
+        self.former.push_back(self.incarnation);
+        if self.former.len() > MOST_FORMER {
+            self.former.pop_front();
+        }
+    }
+
     fn usable(&self) -> bool {
         matches!(self.state, PeerState::Alive | PeerState::Suspect(_))
     }
--- a/crates/celerywinch_node/src/incarnation.rs
+++ b/crates/celerywinch_node/src/incarnation.rs
@@ -11,9 +11,9 @@
 
 /// The number of a life that starts at `wall`: greater than that of every life before.
 ///
-/// The wall clock alone gives a smaller number if it was set back meanwhile. The others would take
-/// the process for an earlier life of itself and ignore it until its clock has caught up. With a
-/// data folder the last number is remembered; without one only the clock is there to go by.
+/// The wall clock alone gives a smaller number if it was set back meanwhile. Who has heard both knows the later one by its
+/// links; who has not, as it has itself started again, goes by the number. With a data folder the last one is remembered;
+/// without one only the clock is there to go by.
 pub(crate) fn next(folder: Option<&Path>, wall: WallMs) -> anyhow::Result<Incarnation> {
     let Some(folder) = folder else {
         return Ok(Incarnation(wall.0));
