A leaving entry rejects at once a job that it can't answer before it ends

What callers saw: a caller with an open, idle connection sends a job to an entry 4.5 s after its SIGTERM; the entry accepts it, and ends 0.84 s later without an answer.

Cause: a planned stop waited for open jobs until 0.7 s before the kill, and accepted jobs until the end, whatever they take.

--- a/crates/celerywinch_fleet/src/handle.rs
+++ b/crates/celerywinch_fleet/src/handle.rs
@@ -1,8 +1,8 @@
 //! How a host talks to the process.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::time::Duration;
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwapOption;
 use celerywinch_origin::{CallerId, NewJob};
@@ -23,10 +23,19 @@
 pub(crate) struct Snapshot {
     pub(crate) book: ArcSwapOption<QueueBook>,
     pub(crate) ready: AtomicBool,
-    pub(crate) leaving: AtomicBool,
+    pub(crate) leaving: OnceLock<Leaving>,
     pub(crate) open_jobs: AtomicU64,
 }
 
+/// When a planned stop ends.
+#[derive(Clone, Copy, Debug)]
+pub struct Leaving {
+    /// Until then callers are still sent here.
+    pub stays: Instant,
+    /// The process ends then at the latest.
+    pub ends: Instant,
+}
+
 /// A running process.
 #[derive(Clone, Debug)]
 pub struct Fleet {
@@ -80,7 +89,24 @@
     /// Whether a planned stop has begun.
     #[must_use]
     pub fn leaving(&self) -> bool {
-        self.snapshot.leaving.load(Ordering::Acquire)
+        self.snapshot.leaving.get().is_some()
+    }
+
+    /// Whether a job can be answered before the process ends, that should take `expected` and is waited for as long as
+    /// `timeout`. A caller may have kept its connection idle since before the stop began; once all others go elsewhere, the
+    /// few that are left are not worth the risk that a job takes longer.
+    #[must_use]
+    pub fn has_time_for(&self, expected: Duration, timeout: Duration) -> bool {
+        let now = Instant::now();
+        self.snapshot.leaving.get().is_none_or(|leaving| {
+            let stays = now < leaving.stays;
+            let span = if stays {
+                expected.min(timeout)
+            } else {
+                timeout
+            };
+            now + span <= leaving.ends
+        })
     }
 
     /// The figures of this process, as text.
@@ -154,8 +180,9 @@
     }
 
     /// Begins a planned stop: no new callers, and what this process dispatches for goes to others.
-    pub fn leave_deployment(&self) {
-        self.snapshot.leaving.store(true, Ordering::Release);
+    pub fn leave_deployment(&self, leaving: Leaving) {
+        // A second signal changes nothing.
+        let _ = self.snapshot.leaving.set(leaving);
         let _ = self.core.send(CoreMsg::Stop);
     }
 
--- a/crates/celerywinch_fleet/src/lib.rs
+++ b/crates/celerywinch_fleet/src/lib.rs
@@ -20,6 +20,6 @@
 pub use clock::Clock;
 pub use config::{FleetConfig, Port};
 pub use core::start;
-pub use handle::{Fleet, Submitted};
+pub use handle::{Fleet, Leaving, Submitted};
 pub use roster::{Heard, Roster};
 pub use spread::{Spread, SpreadInput, SpreadNote, SpreadOutput, Told};
