links: Drop messages queued while a link opens

Cause: messages to a peer stayed in the link's queue while a connection was being opened, for up to 1.3 s. After many connections were reset, a task submission and its cancellation could be queued together and delivered one after the other. The dispatcher started the task before it read the cancellation, while the caller had already sent its job to another entry process.

Ruled out: that peers depend on the queued messages. What an origin requests from a dispatcher, contacts, workers and heartbeats are sent again when a link opens. Log entries and requests between keepers are retried after their timeouts. The queue was already dropped between two failed attempts.

Change: drop the queue once a connection has been opened or replaced, before the event is reported, so that all state sent again follows the drop. A replacement that fails keeps the old connection and what was queued; the fleet asks for none.

Test: message_sent_before_the_link_opens_is_dropped fails before the change (received [1, 2], expected [2]) and passes after it. It covers the first opening of a link, not a replacement.

--- a/crates/celerywinch_links/src/outgoing.rs
+++ b/crates/celerywinch_links/src/outgoing.rs
@@ -15,6 +15,7 @@
 use http::{Method, Request, Response};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::sync::mpsc::error::TryRecvError;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::{sleep, timeout};
 
@@ -89,6 +90,9 @@
             match self.open().await {
                 Ok(open) => {
                     self.failure.clear();
+                    if !drop_queued(&mut inbox) {
+                        return;
+                    }
                     self.event(LinkEvent::Opened);
                     let opened = Instant::now();
                     match self.pump(open, &mut inbox).await {
@@ -131,16 +135,9 @@
         }
     }
 
-    /// Drops what cannot be sent: it would arrive too late to be of use, and in a flood.
     async fn pause(&self, inbox: &mut UnboundedReceiver<LinkMsg<M>>) -> bool {
         sleep(PAUSE).await;
-        loop {
-            match inbox.try_recv() {
-                Ok(_) => {}
-                Err(tokio::sync::mpsc::error::TryRecvError::Empty) => return true,
-                Err(tokio::sync::mpsc::error::TryRecvError::Disconnected) => return false,
-            }
-        }
+        drop_queued(inbox)
     }
 
     async fn open(&self) -> anyhow::Result<Open> {
@@ -223,7 +220,7 @@
                     }
                     self.flush(&mut open, &mut buffer)?;
                     if probe {
-                        open = self.replace(open).await?;
+                        open = self.replace(open, inbox).await?;
                     }
                 }
                 _ = open.broken.recv() => bail!("no answer to a ping, or closed"),
@@ -256,9 +253,14 @@
     }
 
     /// Opens a new connection while the old one is silent, and uses it if it answers.
-    async fn replace(&self, old: Open) -> anyhow::Result<Open> {
+    async fn replace(
+        &self,
+        old: Open,
+        inbox: &mut UnboundedReceiver<LinkMsg<M>>,
+    ) -> anyhow::Result<Open> {
         match self.open().await {
             Ok(new) => {
+                drop_queued(inbox);
                 self.event(LinkEvent::Replaced);
                 Ok(new)
             }
@@ -274,6 +276,19 @@
     }
 }
 
+/// Drops the messages queued while a connection was being opened or retried; returns false if the queue is closed.
+/// Peers send their state again after `Opened` or `Replaced`. If a queued request and its cancellation were delivered
+/// together, the peer could run the request although the sender had already reassigned it to another peer.
+fn drop_queued<M>(inbox: &mut UnboundedReceiver<LinkMsg<M>>) -> bool {
+    loop {
+        match inbox.try_recv() {
+            Ok(_) => {}
+            Err(TryRecvError::Empty) => return true,
+            Err(TryRecvError::Disconnected) => return false,
+        }
+    }
+}
+
 /// The ticket that a stream has to begin with.
 fn ticket<T>(response: &Response<T>) -> Option<Ticket> {
     let value = response.headers().get(TICKET_HEADER)?;
--- a/crates/celerywinch_links/tests/restart.rs
+++ b/crates/celerywinch_links/tests/restart.rs
@@ -18,9 +18,12 @@
 /// Attempts are repeated every 100 ms.
 const PATIENCE: Duration = Duration::from_secs(2);
 
-/// Remembers the messages that arrive.
+/// Records received messages and link events.
 #[derive(Clone, Default)]
-struct Recorder(Rc<RefCell<Vec<(Process, u32)>>>);
+struct Recorder(
+    Rc<RefCell<Vec<(Process, u32)>>>,
+    Rc<RefCell<Vec<LinkEvent>>>,
+);
 
 impl Host<u32> for Recorder {
     fn received(&self, from: Process, msg: u32) -> anyhow::Result<()> {
@@ -28,7 +31,9 @@
         Ok(())
     }
 
-    fn event(&self, _peer: InstanceId, _event: LinkEvent) {}
+    fn event(&self, _peer: InstanceId, event: LinkEvent) {
+        self.1.borrow_mut().push(event);
+    }
 
     fn stamp(&self) -> u64 {
         0
@@ -97,25 +102,55 @@
 fn busy_peer_is_waited_for() {
     let system = System::build().name("busy").build(DefaultRuntime);
     system.block_on(async {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let target = listener.local_addr().expect("its address");
-        let receiver = Recorder::default();
-        ntex::rt::spawn(listen(listener, receiver.clone(), config(RECEIVER, 1)));
-        let busy = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let addr = busy.local_addr().expect("its address");
-        ntex::rt::spawn(async move {
-            while let Ok((socket, _)) = busy.accept().await {
-                let peer = TcpStream::connect(target).await.expect("the peer");
-                let (from_caller, to_caller) = socket.into_split();
-                let (from_peer, to_peer) = peer.into_split();
-                ntex::rt::spawn(pass_slowly(from_caller, to_peer));
-                ntex::rt::spawn(pass_slowly(from_peer, to_caller));
-            }
-        });
+        let (addr, receiver) = listen_behind_slow_relay().await;
         assert!(is_heard(config(PEER, 7), addr, 1, &receiver).await);
     });
 }
 
+/// Guards against running a task twice when its request and cancellation are queued until the link opens.
+#[test]
+fn message_sent_before_the_link_opens_is_dropped() {
+    let system = System::build().name("queued").build(DefaultRuntime);
+    system.block_on(async {
+        let (addr, receiver) = listen_behind_slow_relay().await;
+        let sender = Recorder::default();
+        let mut links = Links::new(sender.clone(), config(PEER, 7));
+        links.open(RECEIVER, addr);
+        links.send(RECEIVER, 1);
+        let until = Instant::now() + PATIENCE;
+        while Instant::now() < until && !sender.1.borrow().contains(&LinkEvent::Opened) {
+            sleep(Duration::from_millis(20)).await;
+        }
+        links.send(RECEIVER, 2);
+        while Instant::now() < until && receiver.0.borrow().is_empty() {
+            sleep(Duration::from_millis(20)).await;
+        }
+        sleep(BUSY * 2).await;
+        let received: Vec<_> = receiver.0.borrow().iter().map(|(_, msg)| *msg).collect();
+        assert_eq!(received, [2]);
+    });
+}
+
+/// Starts a receiver behind a relay that delays each read by [`BUSY`]; returns the relay's address and the receiver.
+async fn listen_behind_slow_relay() -> (SocketAddr, Recorder) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let target = listener.local_addr().expect("its address");
+    let receiver = Recorder::default();
+    ntex::rt::spawn(listen(listener, receiver.clone(), config(RECEIVER, 1)));
+    let busy = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = busy.local_addr().expect("its address");
+    ntex::rt::spawn(async move {
+        while let Ok((socket, _)) = busy.accept().await {
+            let peer = TcpStream::connect(target).await.expect("the peer");
+            let (from_caller, to_caller) = socket.into_split();
+            let (from_peer, to_peer) = peer.into_split();
+            ntex::rt::spawn(pass_slowly(from_caller, to_peer));
+            ntex::rt::spawn(pass_slowly(from_peer, to_caller));
+        }
+    });
+    (addr, receiver)
+}
+
 async fn pass_slowly(mut from: impl AsyncRead + Unpin, mut to: impl AsyncWrite + Unpin) {
     let mut buffer = vec![0; 64 << 10];
     while let Ok(count) = from.read(&mut buffer).await {
