Do not report jobs as failed when a task is given up after crashes

Ruled out: a wrong count of crashes (both workers had returned with a new incarnation); a higher limit (it makes the error rarer and ends more workers).

The caller may send it again; while the crashes are remembered it gets the same answer at once.

The new test job_fails_only_by_failed_runs did not compile before, as the variant is new.

--- a/crates/celerywinch_bench/src/members/callers.rs
+++ b/crates/celerywinch_bench/src/members/callers.rs
@@ -16,6 +16,8 @@
 const TARGET: u32 = 60;
 /// A caller without an answer sends its job again after this time.
 const RESEND: Duration = Duration::from_millis(1_300);
+/// A caller stops resending a job after so many tries that ended without a known result.
+const MAX_TRIES: u32 = 4;
 /// How far tasks of one job differ, and jobs of one kind, and guesses from the truth.
 const UNEVEN: f64 = 0.15;
 const SPREAD: f64 = 0.4;
@@ -155,6 +157,7 @@
             return;
         }
         match end {
+            JobEnd::Unsure if job.tries >= MAX_TRIES => job.gave_up = true,
             JobEnd::Unsure => {
                 let tries = job.tries;
                 self.at(now + RESEND, Event::Resubmit(index, tries));
--- a/crates/celerywinch_origin/src/origin.rs
+++ b/crates/celerywinch_origin/src/origin.rs
@@ -308,7 +308,11 @@
                 self.finish_if_done(now, id.job, out);
             }
             TaskEnd::Failed => self.answer(now, id.job, JobEnd::Failed, out),
-            TaskEnd::Superseded => self.answer(now, id.job, JobEnd::Unsure, out),
+            // A task given up after crashes of its workers has not used up its failed runs, so its job
+            // is not reported as failed.
+            TaskEnd::GivenUp | TaskEnd::Superseded => {
+                self.answer(now, id.job, JobEnd::Unsure, out);
+            }
             // Refused by one that does not know all: something of the job may have run elsewhere.
             TaskEnd::Refused(_) if job.doubtful => self.answer(now, id.job, JobEnd::Unsure, out),
             TaskEnd::Refused(later) => self.answer(now, id.job, JobEnd::Refused(later), out),
--- a/crates/celerywinch_origin/tests/hand_in.rs
+++ b/crates/celerywinch_origin/tests/hand_in.rs
@@ -352,3 +352,14 @@
     rig.tell(to, &order, &[0], TaskEnd::Refused(100));
     assert_eq!(rig.answers, [JobEnd::Unsure]);
 }
+
+/// Guards against reporting a job as failed after crashes of workers, though none of its tasks has failed.
+#[rstest]
+#[case::failed(TaskEnd::Failed, JobEnd::Failed)]
+#[case::workers_crashed(TaskEnd::GivenUp, JobEnd::Unsure)]
+fn job_fails_only_by_failed_runs(#[case] end: TaskEnd, #[case] answer: JobEnd) {
+    let mut rig = Rig::new(2, &[4]);
+    let (to, order) = rig.last();
+    rig.tell(to, &order, &[0], end);
+    assert_eq!(rig.answers, [answer]);
+}
--- a/crates/celerywinch_pool/src/crashes.rs
+++ b/crates/celerywinch_pool/src/crashes.rs
@@ -171,7 +171,7 @@
         }
         out.push(Output::Note(Note::GivenUp { task: id, crashes }));
         self.unqueue(key);
-        self.finish(now, key, index, TaskEnd::Failed);
+        self.finish(now, key, index, TaskEnd::GivenUp);
         self.requeue(key);
         true
     }
--- a/crates/celerywinch_pool/src/told.rs
+++ b/crates/celerywinch_pool/src/told.rs
@@ -27,7 +27,7 @@
     /// the while: it has not been started since. If another had it meanwhile, it may run there.
     pub(crate) fn settles(&self, origin: InstanceId, order: &TaskOrder) -> bool {
         match self.news.end {
-            TaskEnd::Done | TaskEnd::Failed => order.doubt != Doubt::None,
+            TaskEnd::Done | TaskEnd::Failed | TaskEnd::GivenUp => order.doubt != Doubt::None,
             TaskEnd::Full => self.origin == origin && self.news.hand >= order.first,
             TaskEnd::Returned { .. }
             | TaskEnd::Doubtful
--- a/crates/celerywinch_types/src/fleet.rs
+++ b/crates/celerywinch_types/src/fleet.rs
@@ -213,6 +213,9 @@
         Done,
         /// Failed for good.
         Failed,
+        /// Not started again because workers crashed while running it; its queue's limit of failed runs
+        /// was not reached.
+        GivenUp,
         /// Not started here, or ended without a result; to be handed in again.
         Returned {
             /// Where its last run may still be at work.
@@ -322,7 +325,11 @@
     pub fn gives_back(&self) -> bool {
         match self.end {
             TaskEnd::Full | TaskEnd::Returned { .. } | TaskEnd::Doubtful => true,
-            TaskEnd::Done | TaskEnd::Failed | TaskEnd::Refused(_) | TaskEnd::Superseded => false,
+            TaskEnd::Done
+            | TaskEnd::Failed
+            | TaskEnd::GivenUp
+            | TaskEnd::Refused(_)
+            | TaskEnd::Superseded => false,
         }
     }
 }
