--- a/crates/celerywinch/src/commands/soak.rs
+++ b/crates/celerywinch/src/commands/soak.rs
@@ -16,7 +16,7 @@
     run,
 };
 
-const BRIEF: &str = "Usage: celerywinch soak [--seed N] [--steps M] [--calm] [--store]\n       celerywinch soak --members [--seed N] [--runs M] [--held]\n                                  [--congested] [--refused] [--drift] [--many]\n                                  [--reborn] [--shrinking] [--crashing]\n                                  [--without NAMES]\n\n\
+const BRIEF: &str = "Usage: celerywinch soak [--seed N] [--steps M] [--calm] [--store]\n       celerywinch soak --members [--seed N] [--runs M] [--held]\n                                  [--congested] [--refused] [--drift] [--many]\n                                  [--reborn] [--shrinking] [--crashing]\n                                  [--evacuated]\n                                  [--without NAMES]\n\n\
     Drives the entries' state machines with a virtual clock under lost, doubled, delayed and\n\
     reordered messages, deaths, freezes, cuts and lost memory. One seed gives one run.\n\
     Prints `steps=… starts=… violations=…` last and exits 1 on a violation.";
@@ -103,6 +103,11 @@
         "crashing",
         "with --members: tasks of some jobs end their workers",
     );
+    options.optflag(
+        "",
+        "evacuated",
+        "with --members: operators start and end evacuations of data centres",
+    );
     options.optflag(
         "",
         "many",
@@ -137,6 +142,7 @@
             reborn: matches.opt_present("reborn"),
             shrinking: matches.opt_present("shrinking"),
             crashing: matches.opt_present("crashing"),
+            evacuated: matches.opt_present("evacuated"),
             many: matches.opt_present("many"),
             without: matches.opt_str("without").unwrap_or_default().parse()?,
         };
@@ -194,6 +200,7 @@
     reborn: bool,
     shrinking: bool,
     crashing: bool,
+    evacuated: bool,
     many: bool,
     without: Without,
 }
@@ -257,6 +264,7 @@
             reborn: kinds.reborn,
             shrinking: kinds.shrinking,
             crashing: kinds.crashing,
+            evacuated: kinds.evacuated,
         }),
         follow: follow.map(JobId),
     }
--- a/crates/celerywinch_bench/src/members/cuts.rs
+++ b/crates/celerywinch_bench/src/members/cuts.rs
@@ -33,6 +33,10 @@
         one != other && (self.entries.contains(&one) || self.entries.contains(&other))
     }
 
+    pub(crate) fn contains(&self, entry: usize) -> bool {
+        self.entries.contains(&entry)
+    }
+
     /// Keeps a message that is sent on a connection which the sender still takes for sound; later ones
     /// are lost.
     pub(crate) fn hold(&mut self, now: Time, from: usize, to: usize, event: Event) {
@@ -59,6 +63,7 @@
         self.cut.remove(&dc);
         self.reset_links();
         self.introduce();
+        self.send_evacuations();
     }
 
     pub(crate) fn cut_entries(&mut self, lasts: Duration) {
@@ -88,6 +93,7 @@
         }
         self.reset_links();
         self.introduce();
+        self.send_evacuations();
     }
 
     /// Links open again after a cut.
--- /dev/null
+++ b/crates/celerywinch_bench/src/members/evacuations.rs
@@ -0,0 +1,80 @@
+//! Simulated operators that start and end evacuations of data centres.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use celerywinch_member::Input;
+use celerywinch_pool::{Call, Order};
+use celerywinch_types::{DataCentreId, Evacuations, Time};
+use rand::Rng;
+
+use super::history::Violation;
+use super::world::World;
+
+/// How long tasks may still be started in a data centre after its evacuation was acknowledged.
+/// Cuts and freezes of members last up to 2.5 s.
+const MAX_START_DELAY: Duration = Duration::from_secs(3);
+/// The same for fault plans with longer cuts of members or with congested incoming paths.
+const MAX_START_DELAY_LONG_CUTS: Duration = Duration::from_secs(6);
+
+/// The evacuations that the keepers hold, and since when each is in force.
+#[derive(Debug, Default)]
+pub(crate) struct AcknowledgedEvacuations {
+    pub(crate) evacuations: Evacuations,
+    since: BTreeMap<DataCentreId, Time>,
+}
+
+impl World {
+    /// Starts the evacuation of a random data centre, or ends it if it is evacuated.
+    pub(crate) fn evacuate(&mut self) {
+        let dc = DataCentreId(self.random.random_range(0..self.options.dcs));
+        let now = self.now;
+        let acknowledged = &mut self.acknowledged;
+        acknowledged.evacuations.revision += 1;
+        if acknowledged.since.remove(&dc).is_some() {
+            acknowledged.evacuations.dcs.remove(&dc);
+        } else {
+            acknowledged.since.insert(dc, now);
+            acknowledged.evacuations.dcs.insert(dc);
+        }
+        self.send_evacuations();
+    }
+
+    /// Sends the evacuations to all members that can be reached; the others get them once they can
+    /// be reached again.
+    pub(crate) fn send_evacuations(&mut self) {
+        for member in 0..self.members.len() {
+            self.send_evacuations_to(member);
+        }
+    }
+
+    pub(crate) fn send_evacuations_to(&mut self, member: usize) {
+        let host = &self.members[member];
+        let cut = self.cut.contains(&host.dc) || self.apart.contains(member);
+        if cut || !host.is_up() || host.is_frozen() || self.acknowledged.evacuations.revision == 0 {
+            return;
+        }
+        let evacuations = self.acknowledged.evacuations.clone();
+        self.input(member, Input::Evacuations(evacuations));
+    }
+
+    /// Records a violation if the call starts a task in a data centre after the permitted delay.
+    pub(crate) fn judge_evacuated_start(&mut self, index: usize, call: &Call) {
+        let Order::Start { task, .. } = call.order else {
+            return;
+        };
+        let plan = self.options.faults.unwrap_or_default();
+        let max_delay = if plan.held || plan.congested {
+            MAX_START_DELAY_LONG_CUTS
+        } else {
+            MAX_START_DELAY
+        };
+        let dc = DataCentreId(self.workers[index].dc);
+        let since = self.acknowledged.since.get(&dc);
+        if since.is_some_and(|since| self.now.since(*since) > max_delay) {
+            let worker = self.workers[index].worker.id.clone();
+            self.broken
+                .push(Violation::InEvacuatedDataCentre(task, worker));
+        }
+    }
+}
--- a/crates/celerywinch_bench/src/members/faults.rs
+++ b/crates/celerywinch_bench/src/members/faults.rs
@@ -35,6 +35,8 @@
     pub shrinking: bool,
     /// Whether the tasks of some jobs end their workers.
     pub crashing: bool,
+    /// Whether operators start and end evacuations of data centres.
+    pub evacuated: bool,
     /// Whether the steady clocks of workers are up to 2% slow, each by its own share.
     pub drift: bool,
 }
@@ -59,6 +61,7 @@
     RefuseCalls,
     Drain,
     Shrink,
+    Evacuate,
 }
 
 const MEMBER_FAULTS: [Fault; 4] = [Fault::Kill, Fault::Leave, Fault::Freeze, Fault::Cut];
@@ -73,6 +76,7 @@
 const REFUSED_FAULTS: [Fault; 3] = [Fault::Refuse, Fault::Refuse, Fault::RefuseCalls];
 const REBORN_FAULTS: [Fault; 4] = [Fault::Drain, Fault::Drain, Fault::Crash, Fault::Crash];
 const SHRINKING_FAULTS: [Fault; 4] = [Fault::Shrink; 4];
+const EVACUATED_FAULTS: [Fault; 3] = [Fault::Evacuate; 3];
 const WORKER_FAULTS: [Fault; 6] = [
     Fault::Crash,
     Fault::Hang,
@@ -94,6 +98,7 @@
         let refused = REFUSED_FAULTS.iter().filter(|_| plan.refused);
         let reborn = REBORN_FAULTS.iter().filter(|_| plan.reborn);
         let shrinking = SHRINKING_FAULTS.iter().filter(|_| plan.shrinking);
+        let evacuated = EVACUATED_FAULTS.iter().filter(|_| plan.evacuated);
         let Some(fault) = members
             .chain(workers)
             .chain(held)
@@ -101,6 +106,7 @@
             .chain(refused)
             .chain(reborn)
             .chain(shrinking)
+            .chain(evacuated)
             .choose(&mut self.random)
             .copied()
         else {
@@ -129,6 +135,7 @@
             Fault::RefuseCalls => self.refuse_calls(lasts),
             Fault::Drain => self.drain_worker(),
             Fault::Shrink => self.shrink_worker(lasts),
+            Fault::Evacuate => self.evacuate(),
         }
     }
 }
--- a/crates/celerywinch_bench/src/members/history.rs
+++ b/crates/celerywinch_bench/src/members/history.rs
@@ -21,6 +21,8 @@
     AfterNotice(TaskId, String),
     /// A task was started on a worker that had no room for it, nor had had for long.
     OverRoom(TaskId, String),
+    /// A task was started on a worker of an evacuated data centre after the permitted delay.
+    InEvacuatedDataCentre(TaskId, String),
     /// A task was started so often more after three workers had ended by it.
     Restarted(TaskId, usize),
     /// A member did not come to rest after the load.
--- a/crates/celerywinch_bench/src/members/mod.rs
+++ b/crates/celerywinch_bench/src/members/mod.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod congestion;
 mod cuts;
+mod evacuations;
 mod faults;
 mod history;
 mod judge;
--- a/crates/celerywinch_bench/src/members/workers.rs
+++ b/crates/celerywinch_bench/src/members/workers.rs
@@ -92,6 +92,7 @@
         let timeout = Event::Answer(from, life, call.key, Answer::Silent);
         self.at(self.now + call.timeout, timeout);
         let index = usize::from(call.addr.port()) - 1;
+        self.judge_evacuated_start(index, &call);
         let delay = self.delay(self.members[from].dc, self.workers[index].dc);
         let sent = self.leave(from, size_of_order(&call.order));
         let way = OnWay {
--- a/crates/celerywinch_bench/src/members/world.rs
+++ b/crates/celerywinch_bench/src/members/world.rs
@@ -16,6 +16,7 @@
 use super::callers::CallerJob;
 use super::congestion::Backlog;
 use super::cuts::Apart;
+use super::evacuations::AcknowledgedEvacuations;
 use super::faults::FaultPlan;
 use super::history::Violation;
 use super::lives::Word;
@@ -151,6 +152,10 @@
         self.life
     }
 
+    pub(crate) fn is_frozen(&self) -> bool {
+        self.frozen
+    }
+
     pub(crate) fn is_up(&self) -> bool {
         self.member.is_some()
     }
@@ -175,6 +180,8 @@
     pub(crate) apart: Apart,
     /// Members that are refused connections.
     pub(crate) refusals: Refusals,
+    /// The evacuations that the keepers have acknowledged.
+    pub(crate) acknowledged: AcknowledgedEvacuations,
 }
 
 fn instance(index: usize) -> InstanceId {
@@ -218,6 +225,7 @@
             cut: BTreeSet::new(),
             apart: Apart::default(),
             refusals: Refusals::default(),
+            acknowledged: AcknowledgedEvacuations::default(),
             options,
         };
         for index in 0..world.options.entries {
@@ -545,6 +553,7 @@
             self.deliver(index, index, FleetMsg::Workers(vec![note]));
         }
         self.greet(index);
+        self.send_evacuations_to(index);
     }
 
     /// Heartbeats to and from all others, as when links open.
@@ -642,6 +651,7 @@
         host.frozen = false;
         let held = std::mem::take(&mut host.held);
         self.input(index, Input::Paused);
+        self.send_evacuations_to(index);
         for event in held {
             self.reach_member(event);
         }
--- a/crates/celerywinch_bench/tests/members.rs
+++ b/crates/celerywinch_bench/tests/members.rs
@@ -53,6 +53,7 @@
 #[case::workers(FaultPlan { every: 150, members: false, workers: true, ..FaultPlan::default() }, 3)]
 #[case::both(FaultPlan { every: 300, members: true, workers: true, ..FaultPlan::default() }, 4)]
 #[case::both_again(FaultPlan { every: 400, members: true, workers: true, ..FaultPlan::default() }, 5)]
+#[case::evacuated(FaultPlan { every: 300, members: true, workers: true, evacuated: true, ..FaultPlan::default() }, 6)]
 fn history_holds(#[case] faults: FaultPlan, #[case] seed: u64) {
     let mut options = options(seed, 15_000);
     options.faults = Some(faults);
--- a/crates/celerywinch_bench/tests/members_lives.rs
+++ b/crates/celerywinch_bench/tests/members_lives.rs
@@ -46,6 +46,7 @@
     reborn: true,
     shrinking: false,
     crashing: false,
+    evacuated: false,
     drift: false,
 };
 
--- a/crates/celerywinch_domains/tests/holders.rs
+++ b/crates/celerywinch_domains/tests/holders.rs
@@ -5,8 +5,8 @@
 
 use celerywinch_domains::{Change, Domains, Me, Peers};
 use celerywinch_types::{
-    Beat, DataCentreId, Domain, Fence, Holding, Incarnation, InstanceId, Load, Part, Process,
-    Stage, Time, WallMs,
+    Beat, DataCentreId, Domain, Evacuations, Fence, Holding, Incarnation, InstanceId, Load, Part,
+    Process, Stage, Time, WallMs,
 };
 use rstest::rstest;
 
@@ -32,6 +32,7 @@
         holdings: holdings.iter().map(holding).collect(),
         fence: Fence(0),
         version: 1,
+        evacuations: Evacuations::default(),
         shards: 1,
         // Of a process that has run for some time.
         sent: Time(5_000_000),
--- a/crates/celerywinch_fleet/src/core.rs
+++ b/crates/celerywinch_fleet/src/core.rs
@@ -16,9 +16,9 @@
 use celerywinch_member::{Input, Member, MemberConfig};
 use celerywinch_origin::{CallerId, NewJob};
 use celerywinch_pool::{Answer, CallKey, PoolConfig};
-use celerywinch_registry::Held;
 use celerywinch_types::{
-    FleetMsg, Incarnation, InstanceId, JobEnd, Part, Process, Said, Time, WorkerNote, WorkerStage,
+    EvacuationOrder, Evacuations, FleetMsg, Incarnation, InstanceId, JobEnd, KeeperRequest,
+    KeeperState, Part, Process, Said, Time, WorkerNote, WorkerStage,
 };
 use serde::Serialize;
 use tokio::net::TcpListener;
@@ -71,7 +71,7 @@
     AnsweredLate(Duration),
     Announce(WorkerNote, oneshot::Sender<bool>),
     Leave(String, Option<Incarnation>, oneshot::Sender<bool>),
-    Keep(Option<(u64, Vec<u8>)>, oneshot::Sender<Option<Held>>),
+    Keep(KeeperRequest, oneshot::Sender<Option<KeeperState>>),
     Store(StoreOut),
     Seeds(Vec<InstanceId>),
     Stop,
@@ -136,6 +136,18 @@
         version: u64,
         held: Option<u64>,
     },
+    EvacuationProposed {
+        order: EvacuationOrder,
+        held: Option<Evacuations>,
+    },
+}
+
+/// The kind of a request to the keepers that awaits its answer.
+#[derive(Clone, Copy, Debug)]
+enum RequestKind {
+    Read,
+    PutDocument(u64),
+    Evacuate(EvacuationOrder),
 }
 
 /// Everything the core owns.
@@ -161,7 +173,7 @@
     /// Workers that the entries have to hear of with the next tick.
     untold: Vec<WorkerNote>,
     store: Option<Sender<StoreIn>>,
-    keeping: HashMap<u64, (Option<u64>, oneshot::Sender<Option<Held>>)>,
+    keeping: HashMap<u64, (RequestKind, oneshot::Sender<Option<KeeperState>>)>,
     next_keep: u64,
     contacts: BTreeSet<InstanceId>,
 }
@@ -405,7 +417,7 @@
             CoreMsg::Leave(worker, life, answer) => {
                 let _ = answer.send(self.worker_left(now, &worker, life));
             }
-            CoreMsg::Keep(document, answer) => self.keep(document, answer),
+            CoreMsg::Keep(request, answer) => self.keep(request, answer),
             CoreMsg::Store(out) => self.stored(now, out),
             CoreMsg::Seeds(seeds) => {
                 self.note(&CoreNote::Seeds {
--- a/crates/celerywinch_fleet/src/core/keeping.rs
+++ b/crates/celerywinch_fleet/src/core/keeping.rs
@@ -1,12 +1,14 @@
 //! The configuration's keepers, and the workers' announcements.
 
-use celerywinch_registry::{Held, Request};
+use celerywinch_member::Input;
+use celerywinch_registry::Request;
 use celerywinch_types::{
-    FleetMsg, Incarnation, InstanceId, KeepMsg, Time, WorkerNote, WorkerStage,
+    FleetMsg, Incarnation, InstanceId, KeepMsg, KeeperRequest, KeeperState, Time, WorkerNote,
+    WorkerStage,
 };
 use tokio::sync::oneshot;
 
-use super::{Core, CoreNote};
+use super::{Core, CoreNote, RequestKind};
 use crate::journal::Kind;
 use crate::roster::Heard;
 use crate::spread::{SpreadInput, SpreadOutput};
@@ -23,8 +25,11 @@
     pub(super) fn stored(&mut self, now: Time, out: StoreOut) {
         match out {
             StoreOut::Send(to, msg) => self.links.send(to, msg),
-            StoreOut::Answer(id, held) => self.answer_keep(id, held),
+            StoreOut::Answer(id, state) => self.answer_keep(id, state),
             StoreOut::Committed(held) => self.put_in_force(now, held),
+            StoreOut::EvacuationsChanged(evacuations) => {
+                self.input(now, Input::Evacuations(evacuations))
+            }
             StoreOut::Workers(notes) => {
                 for note in notes {
                     self.announced(now, note);
@@ -67,8 +72,8 @@
 
     pub(super) fn keep(
         &mut self,
-        document: Option<(u64, Vec<u8>)>,
-        answer: oneshot::Sender<Option<Held>>,
+        request: KeeperRequest,
+        answer: oneshot::Sender<Option<KeeperState>>,
     ) {
         if self.store.is_none() {
             let _ = answer.send(None);
@@ -77,34 +82,42 @@
         self.keeping.retain(|_, (_, waiting)| !waiting.is_closed());
         self.next_keep += 1;
         let id = self.next_keep;
-        let version = document.as_ref().map(|(version, _)| *version);
-        self.keeping.insert(id, (version, answer));
+        let kind = match &request {
+            KeeperRequest::ReadDocument | KeeperRequest::ReadEvacuations => RequestKind::Read,
+            KeeperRequest::PutDocument(version, _) => RequestKind::PutDocument(*version),
+            KeeperRequest::Evacuate(order) => RequestKind::Evacuate(*order),
+        };
+        self.keeping.insert(id, (kind, answer));
         let from = self.me.instance;
-        self.to_store(StoreIn::Request(Request { from, id, document }));
+        self.to_store(StoreIn::Request(Request { from, id, request }));
     }
 
     pub(super) fn keep_msg(&mut self, from: InstanceId, msg: KeepMsg) {
         match msg {
-            KeepMsg::Propose { id, document } => {
-                self.to_store(StoreIn::Request(Request { from, id, document }));
-            }
-            KeepMsg::Answer { id, held } => {
-                let held = held.map(|(version, document)| Held { version, document });
-                self.answer_keep(id, held);
+            KeepMsg::Propose { id, request } => {
+                self.to_store(StoreIn::Request(Request { from, id, request }));
             }
+            KeepMsg::Answer { id, state } => self.answer_keep(id, state),
         }
     }
 
-    fn answer_keep(&mut self, id: u64, held: Option<Held>) {
-        let Some((version, waiting)) = self.keeping.remove(&id) else {
+    fn answer_keep(&mut self, id: u64, state: Option<KeeperState>) {
+        let Some((kind, waiting)) = self.keeping.remove(&id) else {
             return;
         };
-        if let Some(version) = version {
-            let held = held.as_ref().map(|held| held.version);
-            self.note(&CoreNote::Proposed { version, held });
+        match kind {
+            RequestKind::Read => {}
+            RequestKind::PutDocument(version) => {
+                let held = state.as_ref().map(|state| state.version);
+                self.note(&CoreNote::Proposed { version, held });
+            }
+            RequestKind::Evacuate(order) => self.note(&CoreNote::EvacuationProposed {
+                order,
+                held: state.as_ref().map(|state| state.evacuations.clone()),
+            }),
         }
         // An operator that gave up asks again.
-        let _ = waiting.send(held);
+        let _ = waiting.send(state);
     }
 
     /// Takes a worker's announcement; false if it is not to be acknowledged.
--- a/crates/celerywinch_fleet/src/core/work.rs
+++ b/crates/celerywinch_fleet/src/core/work.rs
@@ -78,6 +78,11 @@
         self.metrics.peers.set(peers as i64);
         self.metrics.workers.set(workers as i64);
         self.metrics.open_jobs.set(self.member.open_jobs() as i64);
+        self.metrics
+            .evacuated_data_centres
+            .set(self.member.evacuations().dcs.len() as i64);
+        let runs = self.member.pool().evacuated_runs();
+        self.metrics.evacuated_runs.set(runs as i64);
         let version = i64::try_from(self.spread.version()).unwrap_or(i64::MAX);
         self.metrics.version.set(version);
     }
--- a/crates/celerywinch_fleet/src/handle.rs
+++ b/crates/celerywinch_fleet/src/handle.rs
@@ -6,8 +6,10 @@
 
 use arc_swap::ArcSwapOption;
 use celerywinch_origin::{CallerId, NewJob};
-use celerywinch_registry::Held;
-use celerywinch_types::{Incarnation, InstanceId, JobEnd, QueueBook, WallMs, WorkerNote};
+use celerywinch_types::{
+    DataCentreId, EvacuationOrder, Incarnation, InstanceId, JobEnd, KeeperRequest, KeeperState,
+    QueueBook, WallMs, WorkerNote,
+};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 
@@ -159,19 +161,48 @@
     /// Puts a checked document in force, unless a version as high is held. The version held after
     /// it; none if it is not known what became of it.
     pub async fn propose(&self, version: u64, document: Vec<u8>) -> Option<u64> {
-        let held = self.keep(Some((version, document))).await?;
-        Some(held.version)
-    }
-
-    /// The newest document; none if it cannot be known for sure.
-    pub async fn read(&self) -> Option<Held> {
-        self.keep(None).await
+        let request = KeeperRequest::PutDocument(version, document);
+        let state = tokio::time::timeout(KEEPERS, self.keep(request)).await;
+        Some(state.ok().flatten()?.version)
+    }
+
+    /// Reads the newest version and document; `None` if the keepers did not confirm them in time.
+    pub async fn read(&self) -> Option<KeeperState> {
+        let question = self.keep(KeeperRequest::ReadDocument);
+        let state = tokio::time::timeout(KEEPERS, question).await;
+        state.ok().flatten()
+    }
+
+    /// Starts or ends the evacuation of a data centre; false if the outcome is unknown.
+    pub async fn set_evacuated(&self, dc: DataCentreId, evacuated: bool) -> bool {
+        let order = self.order_evacuation(dc, evacuated);
+        let done = tokio::time::timeout(KEEPERS, order).await;
+        done.ok().flatten().is_some()
+    }
+
+    /// Bases an order on the current revision, and retries until the data centre is in the wanted state.
+    ///
+    /// The revision is read only after the request arrived. A request that was delayed before has
+    /// lost its caller's connection by the time of the answer, and is dropped with it. An order that
+    /// is delayed afterwards is void if another one was committed meanwhile.
+    async fn order_evacuation(&self, dc: DataCentreId, evacuated: bool) -> Option<()> {
+        loop {
+            let state = self.keep(KeeperRequest::ReadEvacuations).await?;
+            let order = EvacuationOrder {
+                dc,
+                evacuated,
+                base: state.evacuations.revision,
+            };
+            let state = self.keep(KeeperRequest::Evacuate(order)).await?;
+            if state.evacuations.dcs.contains(&dc) == evacuated {
+                return Some(());
+            }
+        }
     }
 
-    async fn keep(&self, document: Option<(u64, Vec<u8>)>) -> Option<Held> {
-        let question = self.ask(|answer| CoreMsg::Keep(document, answer));
-        let answer = tokio::time::timeout(KEEPERS, question).await;
-        answer.ok().flatten().flatten()
+    async fn keep(&self, request: KeeperRequest) -> Option<KeeperState> {
+        let answer = self.ask(|answer| CoreMsg::Keep(request, answer)).await;
+        answer.flatten()
     }
 
     /// The settings name other keepers to ask first.
--- a/crates/celerywinch_fleet/src/metrics.rs
+++ b/crates/celerywinch_fleet/src/metrics.rs
@@ -57,6 +57,8 @@
     pub(crate) peers: IntGauge,
     pub(crate) workers: IntGauge,
     pub(crate) open_jobs: IntGauge,
+    pub(crate) evacuated_data_centres: IntGauge,
+    pub(crate) evacuated_runs: IntGauge,
     pub(crate) version: IntGauge,
 }
 
@@ -126,6 +128,14 @@
             peers: meter.gauge("peers", "Processes that are heard.")?,
             workers: meter.gauge("workers", "Workers that obey this dispatcher.")?,
             open_jobs: meter.gauge("open_jobs", "Jobs of callers that are open.")?,
+            evacuated_data_centres: meter.gauge(
+                "evacuated_data_centres",
+                "Data centres that are evacuated, as far as is known here.",
+            )?,
+            evacuated_runs: meter.gauge(
+                "evacuated_runs",
+                "Runs of this dispatcher that are left in evacuated data centres.",
+            )?,
             version: meter.gauge("version", "Version of the configuration in force.")?,
             meter,
         })
--- a/crates/celerywinch_fleet/src/store.rs
+++ b/crates/celerywinch_fleet/src/store.rs
@@ -9,7 +9,9 @@
 use anyhow::Context;
 use celerywinch_registry::{Figures, Held, Registry, RegistryOutput, Request};
 use celerywinch_store::{Disk, Input, KeeperId, Output, RaftConfig, Record, load_file, save_file};
-use celerywinch_types::{FleetMsg, InstanceId, KeepMsg, Time, WorkerNote};
+use celerywinch_types::{
+    Evacuations, FleetMsg, InstanceId, KeepMsg, KeeperState, Time, WorkerNote,
+};
 use tokio::sync::mpsc::UnboundedSender;
 
 use crate::core::CoreMsg;
@@ -47,8 +49,9 @@
 #[derive(Debug)]
 pub(crate) enum StoreOut {
     Send(InstanceId, FleetMsg),
-    Answer(u64, Option<Held>),
+    Answer(u64, Option<KeeperState>),
     Committed(Held),
+    EvacuationsChanged(Evacuations),
     Role(Figures),
     /// The workers that were known before a restart.
     Workers(Vec<WorkerNote>),
@@ -122,6 +125,9 @@
         let now = self.clock.now();
         let mut registry = Registry::new(config, now, loaded)?;
         registry.set_contacts(self.contacts.clone());
+        if registry.evacuations().revision > 0 {
+            self.tell(StoreOut::EvacuationsChanged(registry.evacuations().clone()));
+        }
         if registry.held().version > 0 {
             self.tell(StoreOut::Committed(registry.held().clone()));
         }
@@ -239,26 +245,28 @@
     fn output(&mut self, output: RegistryOutput) -> anyhow::Result<Option<u64>> {
         match output {
             RegistryOutput::Log(output) => return self.log_output(output),
-            RegistryOutput::Answer(to, id, held) => self.answer(to, id, held),
+            RegistryOutput::Answer(to, id, state) => self.answer(to, id, state),
             RegistryOutput::Forward(to, request) => {
                 let msg = KeepMsg::Propose {
                     id: request.id,
-                    document: request.document,
+                    request: request.request,
                 };
                 self.tell(StoreOut::Send(to, FleetMsg::Keep(msg)));
             }
             RegistryOutput::Committed(held) => self.tell(StoreOut::Committed(held)),
+            RegistryOutput::EvacuationsChanged(evacuations) => {
+                self.tell(StoreOut::EvacuationsChanged(evacuations))
+            }
         }
         Ok(None)
     }
 
-    fn answer(&self, to: InstanceId, id: u64, held: Option<Held>) {
+    fn answer(&self, to: InstanceId, id: u64, state: Option<KeeperState>) {
         if to == self.me {
-            self.tell(StoreOut::Answer(id, held));
+            self.tell(StoreOut::Answer(id, state));
             return;
         }
-        let held = held.map(|held| (held.version, held.document));
-        let msg = FleetMsg::Keep(KeepMsg::Answer { id, held });
+        let msg = FleetMsg::Keep(KeepMsg::Answer { id, state });
         self.tell(StoreOut::Send(to, msg));
     }
 
--- a/crates/celerywinch_member/src/beats.rs
+++ b/crates/celerywinch_member/src/beats.rs
@@ -206,6 +206,7 @@
             holdings: self.holdings.clone(),
             fence: self.domains.top(),
             version: self.version,
+            evacuations: self.evacuations.clone(),
             shards: self.domains.shards(),
             sent: now,
             echo,
--- a/crates/celerywinch_member/src/member.rs
+++ b/crates/celerywinch_member/src/member.rs
@@ -7,8 +7,8 @@
 use celerywinch_origin::{CallerId, Input as OriginInput, JobNote, NewJob, Origin};
 use celerywinch_pool::{Answer, Call, CallKey, Grant, Input as PoolInput, Note, Pool, PoolConfig};
 use celerywinch_types::{
-    Beat, Crashes, DataCentreId, FleetMsg, Holding, InstanceId, JobEnd, Learned, Mechanism, Part,
-    Process, Stage, TaskId, Time, WallMs, WorkMsg, WorkerNote,
+    Beat, Crashes, DataCentreId, Evacuations, FleetMsg, Holding, InstanceId, JobEnd, Learned,
+    Mechanism, Part, Process, Stage, TaskId, Time, WallMs, WorkMsg, WorkerNote,
 };
 
 use crate::MemberNote;
@@ -83,6 +83,8 @@
     AnsweredLate(Duration),
     /// This version of the configuration is in force here.
     Version(u64),
+    /// The evacuations that the local keeper holds.
+    Evacuations(Evacuations),
     /// A planned stop begins.
     Stop,
     /// The process stood still.
@@ -130,6 +132,7 @@
     pub(crate) origin: Origin,
     pub(crate) stage: Stage,
     pub(crate) version: u64,
+    pub(crate) evacuations: Evacuations,
     started: Time,
     /// When those that need it often got the last heartbeat.
     pub(crate) beaten: Time,
@@ -178,6 +181,7 @@
             origin: Origin::new(config.dc, config.pool.without),
             stage,
             version: 0,
+            evacuations: Evacuations::default(),
             started: now,
             beaten: Time::default(),
             slow_round: Round::default(),
@@ -225,6 +229,12 @@
         &self.pool
     }
 
+    /// The evacuations with the highest revision known to this member.
+    #[must_use]
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
     /// Takes an input and appends what the host is to do.
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
         self.take(now, input, out);
@@ -266,6 +276,12 @@
                 self.pool_input(now, PoolInput::AnsweredLate(took), out);
             }
             Input::Version(version) => self.version = version,
+            Input::Evacuations(evacuations) => {
+                let adopted = self.adopt_evacuations(now, &evacuations, out);
+                if adopted && self.config.part == Part::Keeper {
+                    self.send_beats(now, out);
+                }
+            }
             Input::Stop => {
                 self.set_stage(Stage::Leaving, out);
                 self.compare_domains(now, out);
@@ -351,6 +367,7 @@
             holdings.map(|h| (h.domain, h.fence)).collect()
         };
         let held_before = before.map(|view| held(&view.beat));
+        let evacuations = beat.evacuations.clone();
         let hurried = before.is_some_and(PeerView::is_close);
         let holdings = held(&beat);
         self.domains.observe(beat.fence);
@@ -366,6 +383,7 @@
         if self.alive.insert(from.instance) {
             self.found(now, from.instance, out);
         }
+        self.adopt_evacuations(now, &evacuations, out);
         self.take_echo(now, from, echo, out);
         // A hand-over is taken up at once, and not with the next tick. The new dispatcher is told first
         // that it is heard, or it could not start what is handed to it.
@@ -385,6 +403,29 @@
         }
     }
 
+    /// Adopts evacuations if their revision is higher than the known one; returns whether it was.
+    fn adopt_evacuations(
+        &mut self,
+        now: Time,
+        evacuations: &Evacuations,
+        out: &mut Vec<Output>,
+    ) -> bool {
+        if evacuations.revision <= self.evacuations.revision {
+            return false;
+        }
+        self.evacuations = evacuations.clone();
+        out.push(Output::Member(MemberNote::Evacuated {
+            revision: evacuations.revision,
+            dcs: evacuations.dcs.clone(),
+        }));
+        self.pool_input(
+            now,
+            PoolInput::EvacuatedDataCentres(evacuations.dcs.clone()),
+            out,
+        );
+        true
+    }
+
     fn new_life(&mut self, now: Time, from: Process, out: &mut Vec<Output>) {
         out.push(Output::Member(MemberNote::PeerHeard {
             peer: from.instance,
--- a/crates/celerywinch_member/src/note.rs
+++ b/crates/celerywinch_member/src/note.rs
@@ -1,6 +1,8 @@
 //! Changes of what a member believes of the others, for the logs.
 
-use celerywinch_types::{Incarnation, InstanceId, Stage};
+use std::collections::BTreeSet;
+
+use celerywinch_types::{DataCentreId, Incarnation, InstanceId, Stage};
 use serde::Serialize;
 
 /// A change.
@@ -21,6 +23,13 @@
         /// Its life.
         life: Incarnation,
     },
+    /// A higher revision of the evacuations was adopted.
+    Evacuated {
+        /// The adopted revision.
+        revision: u64,
+        /// The evacuated data centres.
+        dcs: BTreeSet<DataCentreId>,
+    },
     /// The workers are divided in more shards.
     Divided {
         /// How many.
--- /dev/null
+++ b/crates/celerywinch_member/tests/evacuations.rs
@@ -0,0 +1,111 @@
+//! How members exchange evacuations.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use celerywinch_member::{Input, Member, MemberConfig, Output};
+use celerywinch_pool::PoolConfig;
+use celerywinch_types::{
+    Beat, DataCentreId, Evacuations, Fence, FleetMsg, Incarnation, InstanceId, Part, Process,
+    Stage, Time, WallMs,
+};
+use rstest::rstest;
+
+const ME: InstanceId = InstanceId(1);
+
+fn process(instance: u32) -> Process {
+    Process {
+        instance: InstanceId(instance),
+        incarnation: Incarnation(1),
+    }
+}
+
+fn evacuations(revision: u64, dcs: &[u8]) -> Evacuations {
+    Evacuations {
+        revision,
+        dcs: dcs.iter().copied().map(DataCentreId).collect(),
+    }
+}
+
+fn beat(evacuations: Evacuations) -> Beat {
+    Beat {
+        part: Part::Entry,
+        dc: DataCentreId(0),
+        stage: Stage::Ready,
+        holdings: Vec::new(),
+        fence: Fence(0),
+        version: 1,
+        evacuations,
+        shards: 1,
+        sent: Time(0),
+        echo: None,
+        every: 100,
+        wants: true,
+        probe: false,
+    }
+}
+
+fn member(part: Part) -> Member {
+    let config = MemberConfig {
+        me: process(ME.0),
+        part,
+        dc: DataCentreId(0),
+        dcs: [DataCentreId(0), DataCentreId(1)].into(),
+        shard: 48,
+        pool: PoolConfig::default(),
+    };
+    Member::new(config, Time(0), WallMs(0))
+}
+
+/// The receivers of the heartbeats that were sent, with the revision of the evacuations in each.
+fn sent_revisions(out: &[Output]) -> BTreeSet<(InstanceId, u64)> {
+    let beats = out.iter().filter_map(|output| match output {
+        Output::Send(to, FleetMsg::Beat(beat)) => Some((*to, beat.evacuations.revision)),
+        _ => None,
+    });
+    beats.collect()
+}
+
+struct Case {
+    /// Evacuations in the heartbeats of other members, in order.
+    received: &'static [(u64, &'static [u8])],
+    /// The evacuations in the member's own heartbeat afterwards.
+    known: (u64, &'static [u8]),
+}
+
+/// Guards against older revisions from other members replacing newer ones.
+#[rstest]
+#[case::nothing(Case { received: &[], known: (0, &[]) })]
+#[case::started(Case { received: &[(1, &[1])], known: (1, &[1]) })]
+#[case::ended(Case { received: &[(1, &[1]), (2, &[])], known: (2, &[]) })]
+#[case::older_revision(Case { received: &[(3, &[1]), (2, &[]), (0, &[])], known: (3, &[1]) })]
+fn highest_revision_is_kept(#[case] case: Case) {
+    let mut member = member(Part::Entry);
+    let mut out = Vec::new();
+    for (peer, (revision, dcs)) in (2..).zip(case.received) {
+        let beat = beat(evacuations(*revision, dcs));
+        member.handle(Time(0), Input::Beat(process(peer), beat), &mut out);
+    }
+    let beat = member.beat_for(Time(0), InstanceId(9));
+    assert_eq!(beat.evacuations, evacuations(case.known.0, case.known.1));
+}
+
+/// Guards against evacuations that spread only with the slow round of heartbeats, which takes seconds in a
+/// large deployment.
+#[test]
+fn keeper_sends_evacuations_to_all_at_once() {
+    let mut member = member(Part::Keeper);
+    let mut out = Vec::new();
+    for peer in 2..60 {
+        let beat = beat(Evacuations::default());
+        member.handle(Time(0), Input::Beat(process(peer), beat), &mut out);
+    }
+    let now = Time(0) + Duration::from_millis(10);
+    out.clear();
+    member.handle(now, Input::Evacuations(evacuations(1, &[1])), &mut out);
+    let wanted = (2..60).map(|peer| (InstanceId(peer), 1)).collect();
+    assert_eq!(sent_revisions(&out), wanted);
+    out.clear();
+    member.handle(now, Input::Evacuations(evacuations(1, &[1])), &mut out);
+    assert!(sent_revisions(&out).is_empty(), "once for each revision");
+}
--- a/crates/celerywinch_member/tests/idle.rs
+++ b/crates/celerywinch_member/tests/idle.rs
@@ -6,8 +6,8 @@
 use celerywinch_member::{Input, Member, MemberConfig, Output};
 use celerywinch_pool::{Answer, Note, PoolConfig};
 use celerywinch_types::{
-    Beat, DataCentreId, Fence, Incarnation, InstanceId, Part, Process, Room, Said, Stage, Time,
-    WallMs, WorkerClock, WorkerNote, WorkerStage,
+    Beat, DataCentreId, Evacuations, Fence, Incarnation, InstanceId, Part, Process, Room, Said,
+    Stage, Time, WallMs, WorkerClock, WorkerNote, WorkerStage,
 };
 
 const FAR: DataCentreId = DataCentreId(1);
@@ -26,6 +26,7 @@
         stage: Stage::Ready,
         holdings: Vec::new(),
         fence: Fence(0),
+        evacuations: Evacuations::default(),
         version: 1,
         shards: 1,
         sent: Time(0),
--- a/crates/celerywinch_member/tests/origins.rs
+++ b/crates/celerywinch_member/tests/origins.rs
@@ -6,9 +6,9 @@
 use celerywinch_member::{Input, Member, MemberConfig, Output};
 use celerywinch_pool::{Answer, Call, EndedRow, How, Order, PoolConfig};
 use celerywinch_types::{
-    Beat, Crashes, DataCentreId, Doubt, Echo, Fence, FleetMsg, Incarnation, InstanceId, JobId,
-    Part, Process, Room, RunNumber, Said, Session, Stage, StepOrder, TaskOrder, Time, WallMs,
-    WorkMsg, WorkerClock, WorkerNote, WorkerStage,
+    Beat, Crashes, DataCentreId, Doubt, Echo, Evacuations, Fence, FleetMsg, Incarnation,
+    InstanceId, JobId, Part, Process, Room, RunNumber, Said, Session, Stage, StepOrder, TaskOrder,
+    Time, WallMs, WorkMsg, WorkerClock, WorkerNote, WorkerStage,
 };
 use rstest::rstest;
 
@@ -44,6 +44,7 @@
         holdings: Vec::new(),
         fence: Fence(0),
         version: 1,
+        evacuations: Evacuations::default(),
         shards: 1,
         sent: now,
         echo: Some(Echo {
--- a/crates/celerywinch_member/tests/probes.rs
+++ b/crates/celerywinch_member/tests/probes.rs
@@ -7,8 +7,9 @@
 use celerywinch_origin::{CallerId, NewJob};
 use celerywinch_pool::PoolConfig;
 use celerywinch_types::{
-    Beat, DataCentreId, Domain, Fence, FleetMsg, Holding, Incarnation, InstanceId, JobId, JobPlan,
-    Load, Part, Process, Queue, Room, RunNumber, Stage, StepPlan, Time, WallMs, WorkMsg,
+    Beat, DataCentreId, Domain, Evacuations, Fence, FleetMsg, Holding, Incarnation, InstanceId,
+    JobId, JobPlan, Load, Part, Process, Queue, Room, RunNumber, Stage, StepPlan, Time, WallMs,
+    WorkMsg,
 };
 use rstest::rstest;
 
@@ -46,6 +47,7 @@
         holdings: dispatches.then_some(holding).into_iter().collect(),
         fence: Fence(5),
         version: 1,
+        evacuations: Evacuations::default(),
         shards: 1,
         sent: now,
         echo: None,
--- a/crates/celerywinch_member/tests/restarts.rs
+++ b/crates/celerywinch_member/tests/restarts.rs
@@ -5,7 +5,8 @@
 use celerywinch_member::{Input, Member, MemberConfig, Output};
 use celerywinch_pool::PoolConfig;
 use celerywinch_types::{
-    Beat, DataCentreId, Fence, Incarnation, InstanceId, Part, Process, Stage, Time, WallMs,
+    Beat, DataCentreId, Evacuations, Fence, Incarnation, InstanceId, Part, Process, Stage, Time,
+    WallMs,
 };
 use rstest::rstest;
 
@@ -38,6 +39,7 @@
         holdings: Vec::new(),
         fence: Fence::default(),
         version,
+        evacuations: Evacuations::default(),
         shards: 1,
         sent: Time(sent),
         echo: None,
--- a/crates/celerywinch_member/tests/teach.rs
+++ b/crates/celerywinch_member/tests/teach.rs
@@ -6,8 +6,8 @@
 use celerywinch_member::{Input, Member, MemberConfig, Output};
 use celerywinch_pool::PoolConfig;
 use celerywinch_types::{
-    Beat, DataCentreId, Fence, FleetMsg, Incarnation, InstanceId, Part, Process, Stage, Time,
-    WallMs,
+    Beat, DataCentreId, Evacuations, Fence, FleetMsg, Incarnation, InstanceId, Part, Process,
+    Stage, Time, WallMs,
 };
 use rstest::rstest;
 
@@ -37,6 +37,7 @@
         holdings: Vec::new(),
         fence: Fence(0),
         version: 1,
+        evacuations: Evacuations::default(),
         shards: 1,
         sent: now,
         echo: None,
--- a/crates/celerywinch_pool/src/admission.rs
+++ b/crates/celerywinch_pool/src/admission.rs
@@ -16,6 +16,8 @@
 const LEFT_FOR_LOW: f64 = 0.1;
 /// A caller is told to come back when the work ahead of it is done, at least after this, ms.
 const LEAST_RETRY_MS: u32 = 100;
+/// Retry delay given to callers while all workers of a service are in evacuated data centres, ms.
+const EVACUATED_RETRY_MS: u32 = 1_000;
 /// Priorities that are told apart in the load that is told to others.
 const PRIORITIES: u8 = 3;
 /// Thousandths of a core of a usual task, before any was seen.
@@ -25,7 +27,7 @@
     /// Thousandths of a core that work can be placed on.
     fn capacity(&self, now: Time) -> f64 {
         let workers = self.workers.values();
-        let sound = workers.filter(|w| w.takes(now));
+        let sound = workers.filter(|w| self.takes(now, w));
         let speed = |w: &crate::worker::Worker| f64::from(w.note.room.cpu) / w.pace.max(1.0);
         sound.map(speed).sum::<f64>() * PACKING
     }
@@ -51,9 +53,19 @@
         ((ahead + own) / capacity) as u32
     }
 
+    /// Whether a service has workers and all of them are in evacuated data centres.
+    fn all_evacuated(&self, service: &str) -> bool {
+        if self.evacuated.is_empty() {
+            return false;
+        }
+        let workers = self.workers.values();
+        let mut workers = workers.filter(|w| w.note.service == service).peekable();
+        workers.peek().is_some() && workers.all(|w| self.evacuated.contains(&w.note.dc))
+    }
+
     /// How many tasks could start at once.
     fn places(&self, now: Time, batch: &Batch) -> usize {
-        let workers = self.workers.iter().filter(|(_, w)| w.takes(now));
+        let workers = self.workers.iter().filter(|(_, w)| self.takes(now, w));
         let fitting = workers.filter(|(key, worker)| self.suits(batch, *key, worker));
         let cpu = batch.order.need.cpu.max(1);
         fitting.map(|(_, w)| (w.free().cpu / cpu) as usize).sum()
@@ -73,6 +85,10 @@
         if room || without.lacks(Mechanism::Admission) {
             return false;
         }
+        if self.all_evacuated(&batch.order.service) {
+            self.refuse(now, batch, EVACUATED_RETRY_MS, out);
+            return true;
+        }
         let rank = self.rank(BatchKey::default(), batch);
         let coming = if without.lacks(Mechanism::Inflow) {
             0.0
@@ -126,10 +142,16 @@
         for key in self.queue.keys() {
             let batch = &self.batches[key];
             let untouched = batch.tasks.values().all(|t| t.state == TaskState::Waiting);
-            if batch.begun || !untouched || fits(now, batch, 0) {
+            if batch.begun || !untouched {
                 continue;
             }
-            let wait = self.wait_ms(now, self.queue.ahead(self.rank(key, batch)), 0.0, 0.0);
+            let wait = if self.all_evacuated(&batch.order.service) {
+                EVACUATED_RETRY_MS
+            } else if fits(now, batch, 0) {
+                continue;
+            } else {
+                self.wait_ms(now, self.queue.ahead(self.rank(key, batch)), 0.0, 0.0)
+            };
             let batch = batch.clone();
             self.refuse(now, &batch, wait, out);
             self.drop_batch(now, key, out);
@@ -142,7 +164,7 @@
         let cpu = self.usual_cpu();
         let workers = self.workers.values().filter(|w| w.domain == domain);
         let free = workers
-            .filter(|worker| worker.takes(now))
+            .filter(|worker| self.takes(now, worker))
             .map(|worker| worker.free().cpu / cpu)
             .sum();
         let mut wait = [0; PRIORITIES as usize];
--- a/crates/celerywinch_pool/src/place.rs
+++ b/crates/celerywinch_pool/src/place.rs
@@ -72,7 +72,7 @@
         let task = &batch.tasks[&index];
         let workers = self.workers.iter();
         let fitting = workers.filter(|(key, worker)| {
-            worker.takes(now)
+            self.takes(now, worker)
                 && self.suits(batch, *key, worker)
                 && !self.has_suspended(now, worker)
                 && !self.meets_suspect(task.crashes, worker)
@@ -118,6 +118,8 @@
             self.may_start(now, batch.origin, &batch.tasks[&index])
         };
         assert!(granted, "a task is started only under its origin's grant");
+        let evacuated = self.evacuated.contains(&self.workers[worker_key].note.dc);
+        assert!(!evacuated, "no task is started in an evacuated data centre");
         let worker = &mut self.workers[worker_key];
         let Some(deadline) = worker.deadline(now, lease) else {
             return false;
--- a/crates/celerywinch_pool/src/pool.rs
+++ b/crates/celerywinch_pool/src/pool.rs
@@ -1,13 +1,13 @@
 //! The dispatcher's state and its inputs.
 
 use std::cmp::Ordering;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use celerywinch_types::{
-    Crashes, Domain, Fence, Incarnation, InstanceId, JobId, Learned, Mechanism, RunNumber, TaskEnd,
-    TaskId, TaskNews, Time, WorkMsg, WorkerNote, WorkerStage,
+    Crashes, DataCentreId, Domain, Fence, Incarnation, InstanceId, JobId, Learned, Mechanism,
+    RunNumber, TaskEnd, TaskId, TaskNews, Time, WorkMsg, WorkerNote, WorkerStage,
 };
 use slotmap::SlotMap;
 
@@ -46,6 +46,9 @@
     Resign(Domain),
     /// What workers said of themselves.
     Workers(Vec<WorkerNote>),
+    /// Replaces the set of evacuated data centres: their workers get no new tasks, and running tasks
+    /// continue.
+    EvacuatedDataCentres(BTreeSet<DataCentreId>),
     /// A message of an origin of jobs.
     Work(InstanceId, WorkMsg),
     /// An origin counts this dispatcher as alive.
@@ -90,6 +93,7 @@
     pub(crate) config: PoolConfig,
     pub(crate) held: BTreeMap<Domain, Fence>,
     shards: u8,
+    pub(crate) evacuated: BTreeSet<DataCentreId>,
     pub(crate) workers: SlotMap<WorkerKey, Worker>,
     pub(crate) names: BTreeMap<String, WorkerKey>,
     /// Workers that have left.
@@ -133,6 +137,7 @@
             config,
             held: BTreeMap::new(),
             shards: 1,
+            evacuated: BTreeSet::new(),
             workers: SlotMap::with_key(),
             names: BTreeMap::new(),
             left: BTreeMap::new(),
@@ -238,6 +243,14 @@
         (self.batches.len(), self.runs.len(), held.count())
     }
 
+    /// The number of this dispatcher's runs on workers in evacuated data centres.
+    #[must_use]
+    pub fn evacuated_runs(&self) -> usize {
+        let workers = self.workers.values();
+        let evacuated = workers.filter(|w| self.evacuated.contains(&w.note.dc));
+        evacuated.map(|worker| worker.runs.len()).sum()
+    }
+
     /// Takes an input and appends what the host is to do.
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
         self.inputs += 1;
@@ -249,6 +262,7 @@
                     self.worker(now, note, out);
                 }
             }
+            Input::EvacuatedDataCentres(dcs) => self.evacuated = dcs,
             Input::Work(from, msg) => self.work(now, from, msg, out),
             Input::Granted(origin, grant) => self.granted(now, origin, grant, out),
             Input::AskOrigin(origin) => self.ask_origin(origin, out),
@@ -317,6 +331,11 @@
         }
     }
 
+    /// Whether a worker takes new tasks and its data centre is not evacuated.
+    pub(crate) fn takes(&self, now: Time, worker: &Worker) -> bool {
+        worker.takes(now) && !self.evacuated.contains(&worker.note.dc)
+    }
+
     fn remember_left(&mut self, now: Time, note: &WorkerNote) {
         let life = note.said.incarnation;
         let left = Left { life, heard: now };
--- /dev/null
+++ b/crates/celerywinch_pool/tests/evacuated.rs
@@ -0,0 +1,126 @@
+//! Dispatching while data centres are evacuated.
+
+mod rig;
+
+use std::collections::BTreeSet;
+
+use celerywinch_pool::{Answer, How, Input};
+use celerywinch_types::{DataCentreId, Domain, Doubt, Fence, JobId, TaskEnd, WorkerNote};
+use rig::{DC, Rig, clock, ended, is_look, is_start, is_stop, lists, note, row, step};
+use rstest::rstest;
+
+const OTHER: DataCentreId = DataCentreId(1);
+
+/// A dispatcher with one worker in each of two data centres.
+fn two_dcs() -> Rig {
+    let mut rig = Rig::new(Vec::new(), Vec::new());
+    let far = WorkerNote {
+        dc: OTHER,
+        ..note("w2", 2)
+    };
+    rig.take(Input::Workers(vec![far]));
+    let domain = Domain {
+        dc: OTHER,
+        shard: 0,
+    };
+    rig.take(Input::Acquire(domain, Fence(5 << 5)));
+    let look = rig.last(is_look);
+    assert_eq!(look.worker, "w2");
+    rig.answer(&look, lists(Vec::new(), Vec::new()));
+    rig
+}
+
+fn evacuate(rig: &mut Rig, dcs: &[DataCentreId]) {
+    let dcs: BTreeSet<_> = dcs.iter().copied().collect();
+    rig.take(Input::EvacuatedDataCentres(dcs));
+}
+
+/// Submits jobs of one task each that are queued if there is no room.
+fn submit(rig: &mut Rig, jobs: std::ops::Range<u64>) {
+    for job in jobs {
+        let mut order = step(Doubt::None, 0);
+        order.job = JobId(job);
+        order.fresh = false;
+        rig.submit(order);
+    }
+}
+
+fn started_at(rig: &Rig) -> BTreeSet<&str> {
+    let starts = rig.calls.iter().filter(|call| is_start(&call.order));
+    starts.map(|call| call.worker.as_str()).collect()
+}
+
+struct Case {
+    evacuated: &'static [DataCentreId],
+    /// The workers on which tasks are started.
+    workers: &'static [&'static str],
+    /// How many of six tasks are started; each worker has room for two.
+    starts: usize,
+}
+
+/// Guards against starting tasks in evacuated data centres, and against reporting their free room.
+#[rstest]
+#[case::none(Case { evacuated: &[], workers: &["w1", "w2"], starts: 4 })]
+#[case::one(Case { evacuated: &[DC], workers: &["w2"], starts: 2 })]
+#[case::all(Case { evacuated: &[DC, OTHER], workers: &[], starts: 0 })]
+fn evacuated_workers_get_no_tasks(#[case] case: Case) {
+    let mut rig = two_dcs();
+    evacuate(&mut rig, case.evacuated);
+    submit(&mut rig, 1..7);
+    rig.wait(50);
+    assert_eq!(started_at(&rig), case.workers.iter().copied().collect());
+    assert_eq!(rig.count(is_start), case.starts);
+    let free: u32 = [DC, OTHER]
+        .map(|dc| rig.pool.load(rig.now, Domain { dc, shard: 0 }).free)
+        .iter()
+        .sum();
+    assert_eq!(free, 0, "no free room is reported");
+}
+
+/// Guards against stopping running tasks at an evacuation, and against not using the workers after its end.
+#[rstest]
+fn evacuation_leaves_running_tasks_alone() {
+    let mut rig = Rig::new(Vec::new(), Vec::new());
+    rig.submit(step(Doubt::None, 0));
+    let start = rig.last(is_start);
+    rig.answer(&start, Answer::Taken(clock()));
+    evacuate(&mut rig, &[DC]);
+    for _ in 0..5 {
+        let look = rig.last(is_look);
+        rig.answer(&look, lists(vec![row(1)], Vec::new()));
+        rig.wait(50);
+    }
+    assert_eq!(rig.count(is_stop), 0);
+    let look = rig.last(is_look);
+    rig.answer(&look, lists(Vec::new(), vec![ended(1, How::Done)]));
+    assert_eq!(rig.told.last().map(|(_, end)| *end), Some(TaskEnd::Done));
+    submit(&mut rig, 1..2);
+    assert_eq!(rig.count(is_start), 1, "not started while evacuated");
+    evacuate(&mut rig, &[]);
+    assert_eq!(rig.count(is_start), 2, "started at once after the end");
+}
+
+/// Guards against callers waiting until their deadline where they should get a refusal with a retry delay.
+#[rstest]
+#[case::new_job(true)]
+#[case::queued_job(false)]
+fn jobs_are_refused_while_all_data_centres_are_evacuated(#[case] new: bool) {
+    let mut rig = Rig::new(Vec::new(), Vec::new());
+    let mut full = step(Doubt::None, 0);
+    full.need = rig::ROOM;
+    full.job = JobId(1);
+    rig.submit(full);
+    if new {
+        evacuate(&mut rig, &[DC]);
+    }
+    let mut waiting = step(Doubt::None, 0);
+    waiting.target = 5_000;
+    rig.submit(waiting);
+    if !new {
+        assert!(rig.told.is_empty(), "queued behind the first job");
+        evacuate(&mut rig, &[DC]);
+        rig.wait(10);
+    }
+    let refused = rig.told.last().map(|(_, end)| *end);
+    assert_eq!(refused, Some(TaskEnd::Refused(1_000)));
+}
--- a/crates/celerywinch_registry/src/lib.rs
+++ b/crates/celerywinch_registry/src/lib.rs
@@ -1,5 +1,5 @@
-//! The operators' configuration on the replicated log: a document with a version, of which the
-//! highest is held.
+//! The operators' configuration and evacuations on the replicated log: a document with a version, of
+//! which the highest is held, and the set of evacuated data centres with a revision.
 //!
 //! [`Registry`] is a state machine without clock, socket or disk, like the log under it. The host
 //! carries out its outputs strictly in order, and guarantees that a document was checked before it
--- a/crates/celerywinch_registry/src/registry.rs
+++ b/crates/celerywinch_registry/src/registry.rs
@@ -7,7 +7,9 @@
 use celerywinch_store::{
     Entry, Input, KeeperId, Loaded, Output, Payload, Raft, RaftConfig, RaftMsg, Role, Snapshot,
 };
-use celerywinch_types::{InstanceId, Time, domain};
+use celerywinch_types::{
+    EvacuationOrder, Evacuations, InstanceId, KeeperRequest, KeeperState, Time, domain,
+};
 
 domain! {
     /// What is held: the document with the highest version.
@@ -25,8 +27,16 @@
         pub from: InstanceId,
         /// Names the request there.
         pub id: u64,
-        /// The version and document to hold; none to read.
-        pub document: Option<(u64, Vec<u8>)>,
+        /// The operation.
+        pub request: KeeperRequest,
+    }
+
+    /// A command in the replicated log. `Read` and `PutDocument` are encoded like `None` and `Some` of
+    /// the optional document that releases without evacuations write, so their logs stay readable.
+    enum Command {
+        Read,
+        PutDocument(u64, Vec<u8>),
+        Evacuate(EvacuationOrder),
     }
 }
 
@@ -36,11 +46,13 @@
     /// An output of the log; `Apply`, `Restore` and `Compact` never come out.
     Log(Output),
     /// Answer a request; none if it is not known what became of it.
-    Answer(InstanceId, u64, Option<Held>),
+    Answer(InstanceId, u64, Option<KeeperState>),
     /// Pass a request to the instance that leads.
     Forward(InstanceId, Request),
     /// A higher version is held.
     Committed(Held),
+    /// A higher revision of the evacuations is held.
+    EvacuationsChanged(Evacuations),
 }
 
 /// Figures for operators and logs.
@@ -76,6 +88,7 @@
     me: KeeperId,
     raft: Raft,
     held: Held,
+    evacuations: Evacuations,
     pending: BTreeMap<u64, Pending>,
     /// The index of the last entry that was proposed here.
     proposed: u64,
@@ -88,13 +101,14 @@
     ///
     /// The snapshot cannot be read.
     pub fn new(config: RaftConfig, now: Time, loaded: Loaded) -> anyhow::Result<Self> {
-        let held = read_state(&loaded.snapshot)?;
+        let (held, evacuations) = read_state(&loaded.snapshot)?;
         let last = loaded.entries.last();
         let proposed = last.map_or(loaded.snapshot.index, |entry| entry.index);
         Ok(Self {
             me: config.me,
             raft: Raft::new(config, now, loaded.vote, loaded.snapshot, loaded.entries),
             held,
+            evacuations,
             pending: BTreeMap::new(),
             proposed,
         })
@@ -106,6 +120,12 @@
         &self.held
     }
 
+    /// The evacuations applied by this keeper; others may hold a higher revision.
+    #[must_use]
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
     /// Other instances at which the group may be found.
     pub fn set_contacts(&mut self, contacts: Vec<InstanceId>) {
         self.raft.set_contacts(contacts);
@@ -142,7 +162,8 @@
             Output::Apply(entry) => self.apply(entry, out),
             Output::Restore(snapshot) => self.restore(&snapshot, out),
             Output::Compact(index) => {
-                let state = bincode::serde::encode_to_vec(&self.held, standard());
+                let state = (&self.held, &self.evacuations);
+                let state = bincode::serde::encode_to_vec(state, standard());
                 let state = state.expect("plain data encodes");
                 inputs.push(Input::State { index, state });
             }
@@ -176,9 +197,16 @@
             term: self.raft.term(),
             from: request.from,
             id: request.id,
-            read: request.document.is_none(),
+            read: request.request == KeeperRequest::ReadDocument,
+        };
+        let command = match request.request {
+            KeeperRequest::ReadDocument | KeeperRequest::ReadEvacuations => Command::Read,
+            KeeperRequest::PutDocument(version, document) => {
+                Command::PutDocument(version, document)
+            }
+            KeeperRequest::Evacuate(order) => Command::Evacuate(order),
         };
-        let command = bincode::serde::encode_to_vec(&request.document, standard());
+        let command = bincode::serde::encode_to_vec(&command, standard());
         let command = command.expect("plain data encodes");
         self.handle(now, Input::Propose(command), out);
         self.pending.insert(self.proposed, pending);
@@ -189,39 +217,67 @@
             return;
         };
         match bincode::serde::decode_from_slice(command, standard()) {
-            Ok((Some(document), _)) => self.hold(document, out),
-            Ok((None, _)) => {}
+            Ok((Command::PutDocument(version, document), _)) => self.hold(version, document, out),
+            Ok((Command::Evacuate(order), _)) => self.evacuate(order, out),
+            Ok((Command::Read, _)) => {}
             Err(error) => log::error!("registry: Entry {} is no command: {error}.", entry.index),
         }
         if let Some(pending) = self.pending.remove(&entry.index) {
-            let held = (pending.term == entry.term).then(|| self.answer(pending.read));
-            out.push(RegistryOutput::Answer(pending.from, pending.id, held));
+            let state = (pending.term == entry.term).then(|| self.state(pending.read));
+            out.push(RegistryOutput::Answer(pending.from, pending.id, state));
         }
     }
 
-    fn answer(&self, read: bool) -> Held {
-        if read {
-            return self.held.clone();
-        }
-        Held {
+    fn state(&self, with_document: bool) -> KeeperState {
+        let document = if with_document {
+            self.held.document.clone()
+        } else {
+            Vec::new()
+        };
+        KeeperState {
             version: self.held.version,
-            document: Vec::new(),
+            document,
+            evacuations: self.evacuations.clone(),
         }
     }
 
     /// Only a higher version replaces what is held, so a change sent again or overtaken has no
     /// effect, and other content under the version held is never obeyed.
-    fn hold(&mut self, document: (u64, Vec<u8>), out: &mut Vec<RegistryOutput>) {
-        let (version, document) = document;
+    fn hold(&mut self, version: u64, document: Vec<u8>, out: &mut Vec<RegistryOutput>) {
         if version > self.held.version {
             self.held = Held { version, document };
             out.push(RegistryOutput::Committed(self.held.clone()));
         }
     }
 
+    /// Applies an order if it is based on the current revision.
+    ///
+    /// Orders are resent through other keepers, and a delayed copy may be committed after a later
+    /// order was acknowledged. Each applied order raises the revision, even if it changes nothing
+    /// else, which voids all orders based on an earlier revision.
+    fn evacuate(&mut self, order: EvacuationOrder, out: &mut Vec<RegistryOutput>) {
+        if order.base != self.evacuations.revision {
+            return;
+        }
+        self.evacuations.revision += 1;
+        if order.evacuated {
+            self.evacuations.dcs.insert(order.dc);
+        } else {
+            self.evacuations.dcs.remove(&order.dc);
+        }
+        out.push(RegistryOutput::EvacuationsChanged(self.evacuations.clone()));
+    }
+
     fn restore(&mut self, snapshot: &Snapshot, out: &mut Vec<RegistryOutput>) {
         match read_state(snapshot) {
-            Ok(held) => {
+            Ok((held, evacuations)) => {
+                // Evacuations come before the document, so that the evacuations known to a process are
+                // never older than its configuration.
+                let changed = evacuations.revision > self.evacuations.revision;
+                self.evacuations = evacuations;
+                if changed {
+                    out.push(RegistryOutput::EvacuationsChanged(self.evacuations.clone()));
+                }
                 let higher = held.version > self.held.version;
                 self.held = held;
                 if higher {
@@ -266,11 +322,18 @@
     }
 }
 
-fn read_state(snapshot: &Snapshot) -> anyhow::Result<Held> {
-    if snapshot.state.is_empty() {
-        return Ok(Held::default());
+/// Decodes a snapshot. Those of releases without evacuations end after the document.
+fn read_state(snapshot: &Snapshot) -> anyhow::Result<(Held, Evacuations)> {
+    let state = &snapshot.state;
+    if state.is_empty() {
+        return Ok(Default::default());
+    }
+    let decoded = bincode::serde::decode_from_slice(state, standard());
+    let (held, length) = decoded.context("registry: cannot read the snapshot's document")?;
+    if length == state.len() {
+        return Ok((held, Evacuations::default()));
     }
-    let decoded = bincode::serde::decode_from_slice(&snapshot.state, standard());
-    let (held, _) = decoded.context("registry: cannot read the snapshot's state")?;
-    Ok(held)
+    let decoded = bincode::serde::decode_from_slice(&state[length..], standard());
+    let (evacuations, _) = decoded.context("registry: cannot read the snapshot's evacuations")?;
+    Ok((held, evacuations))
 }
--- /dev/null
+++ b/crates/celerywinch_registry/tests/rig/mod.rs
@@ -0,0 +1,96 @@
+//! A group of one keeper, shared by the tests in this directory.
+
+#![allow(dead_code, reason = "each test file uses only some of the items")]
+
+use std::time::Duration;
+
+use celerywinch_registry::{Registry, RegistryOutput, Request};
+use celerywinch_store::{Input, KeeperId, Loaded, Output, RaftConfig, Role};
+use celerywinch_types::{InstanceId, KeeperRequest, KeeperState, Time};
+
+pub(crate) const ME: InstanceId = InstanceId(1);
+
+pub(crate) fn config() -> RaftConfig {
+    RaftConfig {
+        me: KeeperId {
+            instance: ME,
+            disk: 11,
+        },
+        instances: vec![ME],
+        forms: true,
+        voters: 3,
+        heartbeat: Duration::from_millis(100),
+        election: Duration::from_millis(400),
+        compact_after: 4,
+        seed: 1,
+    }
+}
+
+/// A leader of a group of one, which carries out its own outputs.
+pub(crate) struct Rig {
+    pub(crate) registry: Registry,
+    pub(crate) now: Time,
+    pub(crate) answers: Vec<(u64, Option<KeeperState>)>,
+    /// The persisted state, for restarts.
+    pub(crate) disk: Loaded,
+}
+
+impl Rig {
+    pub(crate) fn new(disk: Loaded) -> Self {
+        let now = Time(10_000_000);
+        let registry = Registry::new(config(), now, disk.clone()).expect("a readable disk");
+        let mut rig = Self {
+            registry,
+            now,
+            answers: Vec::new(),
+            disk,
+        };
+        for _ in 0..10 {
+            rig.now = rig.now + Duration::from_millis(100);
+            let mut out = Vec::new();
+            rig.registry.handle(rig.now, Input::Tick, &mut out);
+            rig.carry_out(out);
+        }
+        assert_eq!(rig.registry.figures().role, Role::Leader);
+        rig
+    }
+
+    fn carry_out(&mut self, mut out: Vec<RegistryOutput>) {
+        while !out.is_empty() {
+            let mut synced = None;
+            for output in std::mem::take(&mut out) {
+                match output {
+                    RegistryOutput::Log(Output::Persist(entries)) => {
+                        synced = entries.last().map(|entry| entry.index).or(synced);
+                        self.disk.entries.extend(entries);
+                    }
+                    RegistryOutput::Log(Output::PersistVote { term, vote }) => {
+                        self.disk.vote = (term, vote);
+                    }
+                    RegistryOutput::Log(Output::PersistSnapshot(snapshot)) => {
+                        let index = snapshot.index;
+                        self.disk.entries.retain(|entry| entry.index > index);
+                        self.disk.snapshot = snapshot;
+                    }
+                    RegistryOutput::Answer(_, id, state) => self.answers.push((id, state)),
+                    _ => {}
+                }
+            }
+            if let Some(index) = synced {
+                self.registry
+                    .handle(self.now, Input::Persisted(index), &mut out);
+            }
+        }
+    }
+
+    pub(crate) fn request(&mut self, id: u64, request: KeeperRequest) {
+        let request = Request {
+            from: ME,
+            id,
+            request,
+        };
+        let mut out = Vec::new();
+        self.registry.request(self.now, request, &mut out);
+        self.carry_out(out);
+    }
+}
--- a/crates/celerywinch_store/src/disk.rs
+++ b/crates/celerywinch_store/src/disk.rs
@@ -71,7 +71,7 @@
 }
 
 /// What the disk held at the start.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Loaded {
     /// The term and the vote.
     pub vote: (u64, Option<KeeperId>),
--- a/crates/celerywinch_types/src/fleet.rs
+++ b/crates/celerywinch_types/src/fleet.rs
@@ -1,5 +1,7 @@
 //! Messages between the processes of a deployment whose callers wait for jobs of tasks.
 
+use std::collections::BTreeSet;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -64,6 +66,26 @@
         pub load: Load,
     }
 
+    /// The set of data centres whose workers get no new tasks.
+    #[derive(Default)]
+    pub struct Evacuations {
+        /// Rises with each order that takes effect.
+        pub revision: u64,
+        /// The evacuated data centres.
+        pub dcs: BTreeSet<DataCentreId>,
+    }
+
+    /// An operator's order to start or end the evacuation of a data centre.
+    #[derive(Copy)]
+    pub struct EvacuationOrder {
+        /// The data centre.
+        pub dc: DataCentreId,
+        /// True to start the evacuation, false to end it.
+        pub evacuated: bool,
+        /// The revision that the order is based on; it is void if another one is held when it is applied.
+        pub base: u64,
+    }
+
     /// What the sender of a heartbeat has last heard of its receiver.
     ///
     /// By this the receiver knows, on its own clock and however late the heartbeat arrives, until when
@@ -92,6 +114,8 @@
         pub fence: Fence,
         /// The version of the configuration it has in force.
         pub version: u64,
+        /// The evacuations it knows of; never older than the configuration in `version`.
+        pub evacuations: Evacuations,
         /// In how many shards the workers are divided, as far as it knows; it never falls.
         pub shards: u8,
         /// When it was sent, by the sender's clock; for the receiver to send back.
@@ -298,22 +322,44 @@
         pub bytes: Vec<u8>,
     }
 
-    /// A request to the keepers of the configuration.
+    /// A request to the keepers.
+    pub enum KeeperRequest {
+        /// Read the newest document.
+        ReadDocument,
+        /// Read the newest evacuations.
+        ReadEvacuations,
+        /// Put a document in force under its version, if it is higher than the version held.
+        PutDocument(u64, Vec<u8>),
+        /// Start or end an evacuation, if the order is based on the current revision.
+        Evacuate(EvacuationOrder),
+    }
+
+    /// The state of the keepers after a request.
+    #[derive(Default)]
+    pub struct KeeperState {
+        /// The version; 0 before the first document.
+        pub version: u64,
+        /// The document; empty unless the request was `ReadDocument`.
+        pub document: Vec<u8>,
+        /// The evacuations.
+        pub evacuations: Evacuations,
+    }
+
+    /// Messages between keepers: operators' requests forwarded to the leader, and their answers.
     pub enum KeepMsg {
-        /// Put this document in force under its version, if it is higher than what is held; none
-        /// to be told what is held for sure.
+        /// Forwards a request to the leader.
         Propose {
             /// Names the request at its sender.
             id: u64,
-            /// The version and the document.
-            document: Option<(u64, Vec<u8>)>,
+            /// The operation.
+            request: KeeperRequest,
         },
-        /// Answers `Propose`: the version and the document held after it; none if it is not known.
+        /// Answers `Propose`.
         Answer {
             /// The request.
             id: u64,
-            /// What is held.
-            held: Option<(u64, Vec<u8>)>,
+            /// The state after it; `None` if the outcome is unknown.
+            state: Option<KeeperState>,
         },
     }
 }
--- a/crates/celerywinch_types/src/lib.rs
+++ b/crates/celerywinch_types/src/lib.rs
@@ -22,8 +22,9 @@
 pub use crashes::Crashes;
 pub use endpoint::{EndpointNote, EndpointState, KindName};
 pub use fleet::{
-    Beat, Contact, Domain, Doubt, Echo, FleetMsg, Holding, KeepMsg, Learned, LearnedQueue, Load,
-    Part, Piece, Session, SpreadMsg, Stage, StepOrder, TaskEnd, TaskNews, TaskOrder, WorkMsg,
+    Beat, Contact, Domain, Doubt, Echo, EvacuationOrder, Evacuations, FleetMsg, Holding, KeepMsg,
+    KeeperRequest, KeeperState, Learned, LearnedQueue, Load, Part, Piece, Session, SpreadMsg,
+    Stage, StepOrder, TaskEnd, TaskNews, TaskOrder, WorkMsg,
 };
 pub use hash::{score, stable_hash};
 pub use id::{DataCentreId, Holder, Incarnation, InstanceId, Process};
