Do not refuse jobs while a dispatcher takes its workers over

No worker had answered yet, so the capacity counted as 0. The workers answered 25 ms later.

Change: workers whose first look is under way count as capacity, for the predicted wait, the wait that is told to others and the time to return.

Test: job_waits_for_workers_being_taken_over fails before the change and passes after it.

--- a/crates/celerywinch_pool/src/admission.rs
+++ b/crates/celerywinch_pool/src/admission.rs
@@ -24,10 +24,11 @@
 const USUAL_CPU: u32 = 8_000;
 
 impl Pool {
-    /// Thousandths of a core that work can be placed on.
+    /// Thousandths of a core that work can be placed on. Includes workers that are being taken over, so
+    /// that jobs are not refused before the first of them has answered.
     fn capacity(&self, now: Time) -> f64 {
         let workers = self.workers.values();
-        let sound = workers.filter(|w| self.takes(now, w));
+        let sound = workers.filter(|w| self.takes(now, w) || self.takes_after_takeover(w));
         let speed = |w: &crate::worker::Worker| f64::from(w.note.room.cpu) / w.pace.max(1.0);
         sound.map(speed).sum::<f64>() * PACKING
     }
--- a/crates/celerywinch_pool/src/pool.rs
+++ b/crates/celerywinch_pool/src/pool.rs
@@ -336,6 +336,15 @@
         worker.takes(now) && !self.evacuated.contains(&worker.note.dc)
     }
 
+    /// Whether a worker is being taken over and is expected to take new tasks once it has answered the first
+    /// look. False once a look has timed out.
+    pub(crate) fn takes_after_takeover(&self, worker: &Worker) -> bool {
+        let sound = worker.grip == Grip::Taking && worker.silent == 0;
+        sound
+            && worker.note.stage == WorkerStage::Ready
+            && !self.evacuated.contains(&worker.note.dc)
+    }
+
     fn remember_left(&mut self, now: Time, note: &WorkerNote) {
         let life = note.said.incarnation;
         let left = Left { life, heard: now };
--- /dev/null
+++ b/crates/celerywinch_pool/tests/takeover.rs
@@ -0,0 +1,26 @@
+//! Jobs submitted while a dispatcher takes its workers over.
+
+mod rig;
+
+use celerywinch_pool::{Answer, Input};
+use celerywinch_types::{Doubt, Fence};
+use rig::{DOMAIN, Rig, is_look, is_start, lists, note, step};
+use rstest::rstest;
+
+/// After a restart of all processes, jobs are refused although all workers are idle, if workers that have not
+/// answered the new dispatcher yet do not count as capacity.
+#[rstest]
+#[case::worker_answers(lists(Vec::new(), Vec::new()), 1)]
+#[case::worker_does_not_answer(Answer::Silent, 0)]
+fn job_waits_for_workers_being_taken_over(#[case] answer: Answer, #[case] starts: usize) {
+    let mut rig = Rig::new(Vec::new(), Vec::new());
+    rig.take(Input::Resign(DOMAIN));
+    rig.take(Input::Workers(vec![note("w1", 1)]));
+    rig.take(Input::Acquire(DOMAIN, Fence(7 << 5)));
+    rig.submit(step(Doubt::None, 0));
+    assert_eq!(rig.told, [], "job ended before the worker answered");
+    let look = rig.last(is_look);
+    rig.answer(&look, answer);
+    rig.wait(20);
+    assert_eq!(rig.count(is_start), starts);
+}
