Shorten the listening time after a full restart with several dispatchers

No process can hold a shard at that point, as all processes that are heard have just started.

Change: the short listening time (200 ms) also applies to divided workers once all entries that are heard are ready. Waiting for all of them keeps a few entries from taking most shards.

Test: several_dispatchers_listen_briefly_once_all_entries_are_ready, case all_ready, fails before the change and passes after it.

--- a/crates/celerywinch_domains/src/domains.rs
+++ b/crates/celerywinch_domains/src/domains.rs
@@ -13,6 +13,7 @@
 const LISTEN: Duration = Duration::from_millis(450);
 /// The same where all that is heard has just started too: then nobody holds anything. Heartbeats of those
 /// that started at the same moment have come by then, and it is known who is ready.
+/// With several dispatchers it applies only once all entries that are heard are ready, or a few of them would take most shards.
 const LISTEN_ANEW: Duration = Duration::from_millis(200);
 /// After a worker has shown that another process took over, this one waits for that process's
 /// heartbeat, which may come over a link that is still being opened.
@@ -280,7 +281,7 @@
 
     /// How long a holder that is alive may be silent to this entry.
     fn listen(&self, now: Time, peers: &Peers) -> Duration {
-        if self.undivided && peers.all_new(now) {
+        if peers.all_new(now) && (self.undivided || peers.all_entries_ready(now)) {
             LISTEN_ANEW
         } else {
             LISTEN
--- a/crates/celerywinch_domains/src/peers.rs
+++ b/crates/celerywinch_domains/src/peers.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use celerywinch_types::{Beat, InstanceId, Part, Process, Time};
+use celerywinch_types::{Beat, InstanceId, Part, Process, Stage, Time};
 
 /// One that was not heard for this long is forgotten, and for as long as two of its windows: among 1,000 processes most
 /// hear each other once in 50 s. Long enough for a cut to heal.
@@ -134,6 +134,14 @@
         alive.peek().is_some() && alive.all(|(_, view)| view.beat.sent < NEW)
     }
 
+    /// Whether at least one entry is alive, and all entries that are alive are ready.
+    #[must_use]
+    pub fn all_entries_ready(&self, now: Time) -> bool {
+        let alive = self.alive(now).map(|(_, view)| &view.beat);
+        let mut entries = alive.filter(|beat| beat.part == Part::Entry).peekable();
+        entries.peek().is_some() && entries.all(|beat| beat.stage == Stage::Ready)
+    }
+
     /// The keepers, heard lately or not.
     pub fn keepers(&self) -> impl Iterator<Item = InstanceId> + '_ {
         let keepers = self.all();
--- a/crates/celerywinch_domains/tests/holders.rs
+++ b/crates/celerywinch_domains/tests/holders.rs
@@ -237,6 +237,35 @@
     assert_eq!(rig.held(), held);
 }
 
+/// After a restart of all processes, callers are refused while entries listen for dispatchers that no longer
+/// exist. If entries listened briefly before all of them are ready, the first ones would take most of the shards.
+#[rstest]
+#[case::all_ready(&[Stage::Ready, Stage::Ready], 20, true)]
+#[case::one_is_joining(&[Stage::Ready, Stage::Joining], 20, false)]
+#[case::all_have_run_for_longer(&[Stage::Ready, Stage::Ready], 5_000, false)]
+#[case::no_entry_is_heard(&[], 20, false)]
+fn several_dispatchers_listen_briefly_once_all_entries_are_ready(
+    #[case] stages: &[Stage],
+    #[case] age: u64,
+    #[case] holds_shards: bool,
+) {
+    let mut rig = Rig::new();
+    rig.domains.set_shards(8, &mut Vec::new());
+    for _ in 0..8 {
+        let keeper = beat(1, Part::Keeper, &[]);
+        let entries = stages.iter().map(|stage| Beat {
+            stage: *stage,
+            ..beat(2, Part::Entry, &[])
+        });
+        for (instance, beat) in (101..).zip(std::iter::once(keeper).chain(entries)) {
+            let sent = Time(age * 1_000);
+            rig.hear(instance, Beat { sent, ..beat });
+        }
+        rig.tick();
+    }
+    assert_eq!(!rig.domains.held().is_empty(), holds_shards);
+}
+
 struct Behind {
     epoch: u64,
     rounds: usize,
