Give starting members their evacuations in the simulation

The trace shows a member that was killed and restarted while its data centre was cut off. The simulation gives a starting member its configuration at once, even during a cut, but gave it no evacuations then. A real process gets its configuration from a peer whose heartbeat carries evacuations as new as that configuration.

A starting member now receives both. During a cut it receives the evacuations that were in force when the most recent cut began; where cuts overlap these may be newer than its own cut. The bound for late starts is unchanged.

--- a/crates/celerywinch_bench/src/members/cuts.rs
+++ b/crates/celerywinch_bench/src/members/cuts.rs
@@ -55,6 +55,7 @@
         let dc = self.random.random_range(0..self.options.dcs);
         if self.cut.is_empty() {
             self.cut.insert(dc);
+            self.snapshot_evacuations();
             self.at(self.now + lasts, Event::Join(dc));
         }
     }
@@ -75,6 +76,7 @@
         let drawn = sample(&mut self.random, all, count);
         self.apart.entries = drawn.into_iter().collect();
         self.apart.since = self.now;
+        self.snapshot_evacuations();
         self.at(self.now + lasts * LONGER, Event::JoinEntries);
     }
 
--- a/crates/celerywinch_bench/src/members/evacuations.rs
+++ b/crates/celerywinch_bench/src/members/evacuations.rs
@@ -22,6 +22,8 @@
 pub(crate) struct AcknowledgedEvacuations {
     pub(crate) evacuations: Evacuations,
     since: BTreeMap<DataCentreId, Time>,
+    /// Snapshot of `evacuations` taken when the most recent cut began.
+    at_cut_start: Evacuations,
 }
 
 impl World {
@@ -40,6 +42,22 @@
         self.send_evacuations();
     }
 
+    pub(crate) fn snapshot_evacuations(&mut self) {
+        self.acknowledged.at_cut_start = self.acknowledged.evacuations.clone();
+    }
+
+    /// The evacuations that a starting member receives along with its configuration: in a real fleet
+    /// both come from a peer, whose heartbeat carries evacuations as new as its configuration version.
+    /// A member that is cut off receives those in force when the most recent cut began.
+    pub(crate) fn evacuations_at_start(&self, member: usize) -> Evacuations {
+        let cut = self.cut.contains(&self.members[member].dc) || self.apart.contains(member);
+        if cut {
+            self.acknowledged.at_cut_start.clone()
+        } else {
+            self.acknowledged.evacuations.clone()
+        }
+    }
+
     /// Sends the evacuations to all members that can be reached; the others get them once they can
     /// be reached again.
     pub(crate) fn send_evacuations(&mut self) {
--- a/crates/celerywinch_bench/src/members/world.rs
+++ b/crates/celerywinch_bench/src/members/world.rs
@@ -548,12 +548,13 @@
         self.members[index].member = Some(Member::new(config, self.now, wall));
         self.at(self.now + TICK, Event::Tick(index, life));
         self.input(index, Input::Version(1));
+        let evacuations = self.evacuations_at_start(index);
+        self.input(index, Input::Evacuations(evacuations));
         for worker in 0..self.workers.len() {
             let note = self.note(worker);
             self.deliver(index, index, FleetMsg::Workers(vec![note]));
         }
         self.greet(index);
-        self.send_evacuations_to(index);
     }
 
     /// Heartbeats to and from all others, as when links open.
