Drop a task whose result was held up, and give up what no worker may take

The origin takes a result under any hand-in, marks the task as done and then cancels the job at the dispatchers that have tasks of it: a task that is done counts for none.

Change: a result of an earlier hand-in is answered with a Drop. Waiting jobs that may have run are given up as unsure (502) while all workers of their service are in evacuated data centres, as new ones are refused at once.

--- a/crates/celerywinch/src/commands/soak.rs
+++ b/crates/celerywinch/src/commands/soak.rs
@@ -279,8 +279,9 @@
         if !report.violations.is_empty() {
             violated += 1;
             println!("Violations, seed {seed}: {}", report.violations.len());
-            let few = report.violations.iter().take(3);
-            few.for_each(|violation| println!("  {violation:?}"));
+            for violation in &report.violations {
+                println!("  {violation:?}");
+            }
         }
     }
     println!("runs={runs} starts={starts} violated={violated}");
--- a/crates/celerywinch_bench/src/members/judge.rs
+++ b/crates/celerywinch_bench/src/members/judge.rs
@@ -32,12 +32,14 @@
         for job in &self.jobs {
             self.judge(job, &mut report);
         }
-        for host in &self.members {
+        for (index, host) in self.members.iter().enumerate() {
             if let Some(member) = &host.member
                 && member.is_busy()
             {
                 let counts = member.pool().counts();
-                let text = format!("{} jobs, pool {counts:?}", member.open_jobs());
+                let jobs = member.open_jobs();
+                let work = member.open_work(self.now);
+                let text = format!("member {index}: {jobs} jobs, pool {counts:?}, {work:#?}");
                 report.violations.push(Violation::Restless(text));
             }
         }
--- a/crates/celerywinch_bench/src/members/world.rs
+++ b/crates/celerywinch_bench/src/members/world.rs
@@ -386,6 +386,9 @@
             return;
         }
         *latest = from.life;
+        if let FleetMsg::Work(msg) = &msg {
+            self.follow(index, &(from.index, msg), false);
+        }
         let from = self.process(from);
         let input = match msg {
             FleetMsg::Beat(beat) => Input::Beat(from, beat),
--- a/crates/celerywinch_bench/tests/members.rs
+++ b/crates/celerywinch_bench/tests/members.rs
@@ -145,6 +145,33 @@
     assert_eq!(run(options).violations, Vec::<Violation>::new());
 }
 
+/// Seeds that once left work open. Where all data centres are evacuated, callers whose jobs may have run waited until their
+/// deadlines (54014, 51031); a result that was held up ended a job whose task the dispatcher had again by then, and would have
+/// run once more (72006, 72011).
+#[rstest]
+#[case(54_014, false)]
+#[case(51_031, true)]
+#[case(72_006, true)]
+#[case(72_011, true)]
+fn seeds_with_evacuations_that_failed_once(#[case] seed: u64, #[case] held: bool) {
+    let mut options = options(seed, 15_000);
+    options.shard = [80, 8, 16][(seed % 3) as usize];
+    let classes = &mut options.load.classes;
+    classes.iter_mut().for_each(|class| class.timeout = 8_000);
+    options.faults = Some(FaultPlan {
+        every: [900, 500, 300, 150][(seed % 4) as usize],
+        members: true,
+        workers: true,
+        clocks: seed % 5 >= 3,
+        held,
+        refused: true,
+        drift: held,
+        evacuated: true,
+        ..FaultPlan::default()
+    });
+    assert_eq!(run(options).violations, Vec::<Violation>::new());
+}
+
 /// Callers see one task at work on two workers: workers idle for over 20 s get a task while what is sent to
 /// their dispatcher is late. The start is carried out, its answer comes after the time for it, and the
 /// worker, last heard when its last task ended, was forgotten at that first miss and its runs started
--- a/crates/celerywinch_member/src/member.rs
+++ b/crates/celerywinch_member/src/member.rs
@@ -223,6 +223,14 @@
         !self.pool.is_idle() || self.origin.open_jobs() > 0
     }
 
+    /// The open work, of callers and as dispatcher, a line for each job or step. For logs and checks.
+    #[must_use]
+    pub fn open_work(&self, now: Time) -> Vec<String> {
+        let mut lines = self.origin.open_places();
+        lines.extend(self.pool.open_steps(now));
+        lines
+    }
+
     /// The dispatcher, for figures.
     #[must_use]
     pub fn pool(&self) -> &Pool {
--- a/crates/celerywinch_origin/src/origin.rs
+++ b/crates/celerywinch_origin/src/origin.rs
@@ -130,6 +130,20 @@
         self.jobs.len()
     }
 
+    /// One line for each open job: how many callers wait, and where its tasks are. For logs and checks.
+    #[must_use]
+    pub fn open_places(&self) -> Vec<String> {
+        let line = |job: &Job| {
+            let places: Vec<_> = job.tasks.values().map(|task| &task.place).collect();
+            format!(
+                "job {}: {} callers, {places:?}",
+                job.id.0,
+                job.callers.len()
+            )
+        };
+        self.jobs.values().map(line).collect()
+    }
+
     /// Whether a dispatcher is known, or was until lately: a change of hands is over by then.
     #[must_use]
     pub fn has_dispatcher(&self, now: Time) -> bool {
@@ -304,13 +318,22 @@
         match end {
             TaskEnd::Done => {
                 task.place = Place::Done;
+                if hand != task.hand {
+                    // The result was held up, and the dispatcher may have taken the task again since: it would
+                    // run it once more, as a task that is done is named in no cancellation of its job.
+                    let drop = WorkMsg::Drop {
+                        tasks: vec![id],
+                        last: self.hands,
+                    };
+                    out.push(Output::Send(from, drop));
+                }
                 self.open.insert(id.job);
                 self.finish_if_done(now, id.job, out);
             }
             TaskEnd::Failed => self.answer(now, id.job, JobEnd::Failed, out),
             // A task given up after crashes of its workers has not used up its failed runs, so its job
             // is not reported as failed.
-            TaskEnd::GivenUp | TaskEnd::Superseded => {
+            TaskEnd::GivenUp | TaskEnd::Superseded | TaskEnd::Unplaced => {
                 self.answer(now, id.job, JobEnd::Unsure, out);
             }
             // Refused by one that does not know all: something of the job may have run elsewhere.
--- a/crates/celerywinch_origin/tests/hand_in.rs
+++ b/crates/celerywinch_origin/tests/hand_in.rs
@@ -353,10 +353,35 @@
     assert_eq!(rig.answers, [JobEnd::Unsure]);
 }
 
+/// Guards against running a task again after its caller got the result: a result that was held up arrives when the
+/// same dispatcher has been handed the task once more.
+#[rstest]
+#[case::late(true)]
+#[case::in_time(false)]
+fn task_whose_result_was_held_up_is_dropped_where_it_was_handed_in_again(#[case] late: bool) {
+    let mut rig = Rig::new(1, &[5]);
+    let (first, order) = rig.last();
+    if late {
+        rig.take(Input::PeerLost(first));
+        rig.take(Input::Holders(vec![holder(first.0, 5)]));
+        assert_eq!(rig.last().0, first, "it has the task again");
+    }
+    rig.tell(first, &order, &[0], TaskEnd::Done);
+    assert_eq!(rig.answers, [JobEnd::Completed]);
+    let task = TaskId {
+        job: JOB,
+        step: 0,
+        index: 0,
+    };
+    let dropped: &[_] = if late { &[(first, vec![task])] } else { &[] };
+    assert_eq!(rig.dropped, dropped);
+}
+
 /// Guards against reporting a job as failed after crashes of workers, though none of its tasks has failed.
 #[rstest]
 #[case::failed(TaskEnd::Failed, JobEnd::Failed)]
 #[case::workers_crashed(TaskEnd::GivenUp, JobEnd::Unsure)]
+#[case::no_worker_may_take_it(TaskEnd::Unplaced, JobEnd::Unsure)]
 fn job_fails_only_by_failed_runs(#[case] end: TaskEnd, #[case] answer: JobEnd) {
     let mut rig = Rig::new(2, &[4]);
     let (to, order) = rig.last();
--- a/crates/celerywinch_pool/src/admission.rs
+++ b/crates/celerywinch_pool/src/admission.rs
@@ -135,7 +135,8 @@
     }
 
     /// Refuses jobs of which nothing has run and which can no longer end in time. Their callers are
-    /// told at once, and the room goes to those that can.
+    /// told at once, and the room goes to those that can. While all workers of a service are in evacuated data
+    /// centres, its waiting jobs that may have run are given up as well, as unsure.
     pub(crate) fn shed(&mut self, now: Time, out: &mut Vec<Output>) {
         if self.config.without.lacks(Mechanism::Shedding) {
             return;
@@ -143,10 +144,17 @@
         for key in self.queue.keys() {
             let batch = &self.batches[key];
             let untouched = batch.tasks.values().all(|t| t.state == TaskState::Waiting);
-            if batch.begun || !untouched {
+            if !untouched {
                 continue;
             }
-            let wait = if self.all_evacuated(&batch.order.service) {
+            let evacuated = self.all_evacuated(&batch.order.service);
+            if batch.begun {
+                if evacuated {
+                    self.give_up_unplaced(now, key);
+                }
+                continue;
+            }
+            let wait = if evacuated {
                 EVACUATED_RETRY_MS
             } else if fits(now, batch, 0) {
                 continue;
@@ -159,6 +167,15 @@
         }
     }
 
+    /// Gives up the waiting tasks of a job that may have run.
+    fn give_up_unplaced(&mut self, now: Time, key: BatchKey) {
+        self.unqueue(key);
+        let indices: Vec<u16> = self.batches[key].tasks.keys().copied().collect();
+        for index in indices {
+            self.finish(now, key, index, TaskEnd::Unplaced);
+        }
+    }
+
     /// The room of a domain, for others to choose where to hand work in.
     #[must_use]
     pub fn load(&self, now: Time, domain: Domain) -> Load {
--- a/crates/celerywinch_pool/src/pool.rs
+++ b/crates/celerywinch_pool/src/pool.rs
@@ -243,6 +243,24 @@
         (self.batches.len(), self.runs.len(), held.count())
     }
 
+    /// One line for each open step of a job: its origin, and how its tasks stand. For logs and checks.
+    #[must_use]
+    pub fn open_steps(&self, now: Time) -> Vec<String> {
+        let line = |batch: &Batch| {
+            let states: Vec<_> = batch.tasks.values().map(|task| task.state).collect();
+            let unnamed = batch.tasks.values().filter(|task| task.unnamed).count();
+            let granted = batch.tasks.values();
+            let granted = granted.filter(|task| self.may_start(now, batch.origin, task));
+            format!(
+                "job {} of {}: {states:?}, {unnamed} unnamed, {} granted",
+                batch.order.job.0,
+                batch.origin,
+                granted.count()
+            )
+        };
+        self.batches.values().map(line).collect()
+    }
+
     /// The number of this dispatcher's runs on workers in evacuated data centres.
     #[must_use]
     pub fn evacuated_runs(&self) -> usize {
--- a/crates/celerywinch_pool/src/told.rs
+++ b/crates/celerywinch_pool/src/told.rs
@@ -32,7 +32,8 @@
             TaskEnd::Returned { .. }
             | TaskEnd::Doubtful
             | TaskEnd::Refused(_)
-            | TaskEnd::Superseded => false,
+            | TaskEnd::Superseded
+            | TaskEnd::Unplaced => false,
         }
     }
 }
--- a/crates/celerywinch_pool/tests/evacuated.rs
+++ b/crates/celerywinch_pool/tests/evacuated.rs
@@ -100,6 +100,35 @@
     assert_eq!(rig.count(is_start), 2, "started at once after the end");
 }
 
+/// Guards against callers waiting until their deadline while all data centres are evacuated, where their job may have run
+/// and so cannot be refused as not run.
+#[rstest]
+#[case::no_longer_placeable(true)]
+#[case::placeable(false)]
+fn waiting_jobs_that_may_have_run_are_given_up(#[case] evacuated: bool) {
+    let mut rig = Rig::new(Vec::new(), Vec::new());
+    let mut full = step(Doubt::None, 0);
+    full.need = rig::ROOM;
+    full.job = JobId(1);
+    rig.submit(full);
+    submit(&mut rig, 2..3);
+    if evacuated {
+        evacuate(&mut rig, &[DC]);
+    }
+    rig.wait(10);
+    let told: Vec<_> = rig
+        .told
+        .iter()
+        .map(|(task, end)| (task.job, *end))
+        .collect();
+    let given_up: &[_] = if evacuated {
+        &[(JobId(2), TaskEnd::Unplaced)]
+    } else {
+        &[]
+    };
+    assert_eq!(told, given_up);
+}
+
 /// Guards against callers waiting until their deadline where they should get a refusal with a retry delay.
 #[rstest]
 #[case::new_job(true)]
--- a/crates/celerywinch_types/src/fleet.rs
+++ b/crates/celerywinch_types/src/fleet.rs
@@ -257,6 +257,8 @@
         Refused(u32),
         /// Its caller has sent the job again to another origin, which gets what becomes of it.
         Superseded,
+        /// Not started as no worker may take it at present; something of its job may have run.
+        Unplaced,
     }
 
     /// Between the origins of jobs and the dispatchers of data centres.
@@ -374,6 +376,7 @@
             TaskEnd::Done
             | TaskEnd::Failed
             | TaskEnd::GivenUp
+            | TaskEnd::Unplaced
             | TaskEnd::Refused(_)
             | TaskEnd::Superseded => false,
         }
