Hand a job in only when all that arrived with it was taken

Two guards at the dispatcher: a task is not started beside a run of it that is being stopped, but gets that run until its end; a task that was given back to another origin up to 300 ms before waits until nothing of it can be at work.

Not covered: a caller that is cut off later than that and sends again before its first run was stopped. The platform's callers wait 1.3 s then.

--- a/crates/celerywinch/src/commands/soak.rs
+++ b/crates/celerywinch/src/commands/soak.rs
@@ -16,7 +16,7 @@
     run,
 };
 
-const BRIEF: &str = "Usage: celerywinch soak [--seed N] [--steps M] [--calm] [--store]\n       celerywinch soak --members [--seed N] [--runs M] [--held]\n                                  [--congested] [--refused] [--drift] [--many]\n                                  [--reborn] [--shrinking] [--crashing]\n                                  [--evacuated]\n                                  [--without NAMES]\n\n\
+const BRIEF: &str = "Usage: celerywinch soak [--seed N] [--steps M] [--calm] [--store]\n       celerywinch soak --members [--seed N] [--runs M] [--held]\n                                  [--congested] [--refused] [--drift] [--many]\n                                  [--reborn] [--shrinking] [--crashing]\n                                  [--evacuated] [--resets]\n                                  [--without NAMES]\n\n\
     Drives the entries' state machines with a virtual clock under lost, doubled, delayed and\n\
     reordered messages, deaths, freezes, cuts and lost memory. One seed gives one run.\n\
     Prints `steps=… starts=… violations=…` last and exits 1 on a violation.";
@@ -108,6 +108,11 @@
         "evacuated",
         "with --members: operators start and end evacuations of data centres",
     );
+    options.optflag(
+        "",
+        "resets",
+        "with --members: reset many connections at once; callers send again at once",
+    );
     options.optflag(
         "",
         "many",
@@ -143,6 +148,7 @@
             shrinking: matches.opt_present("shrinking"),
             crashing: matches.opt_present("crashing"),
             evacuated: matches.opt_present("evacuated"),
+            resets: matches.opt_present("resets"),
             many: matches.opt_present("many"),
             without: matches.opt_str("without").unwrap_or_default().parse()?,
         };
@@ -201,6 +207,7 @@
     shrinking: bool,
     crashing: bool,
     evacuated: bool,
+    resets: bool,
     many: bool,
     without: Without,
 }
@@ -265,6 +272,7 @@
             shrinking: kinds.shrinking,
             crashing: kinds.crashing,
             evacuated: kinds.evacuated,
+            resets: kinds.resets,
         }),
         follow: follow.map(JobId),
     }
--- a/crates/celerywinch_bench/src/members/callers.rs
+++ b/crates/celerywinch_bench/src/members/callers.rs
@@ -136,6 +136,11 @@
         };
         let caller = CallerId(index as u64 * 1_000 + u64::from(job.tries));
         self.input(entry, Input::Submit(caller, new));
+        if self.is_broken_connection() {
+            self.break_connection(index, caller);
+            return;
+        }
+        self.input(entry, Input::Flush);
         let limit = Duration::from_millis(class.timeout.into());
         let tries = self.jobs[index].tries;
         self.at(self.now + limit, Event::GiveUp(index, tries));
--- a/crates/celerywinch_bench/src/members/faults.rs
+++ b/crates/celerywinch_bench/src/members/faults.rs
@@ -37,6 +37,9 @@
     pub crashing: bool,
     /// Whether operators start and end evacuations of data centres.
     pub evacuated: bool,
+    /// Whether many connections are reset at once, and callers whose connections broke as they sent their jobs send them
+    /// again at once.
+    pub resets: bool,
     /// Whether the steady clocks of workers are up to 2% slow, each by its own share.
     pub drift: bool,
 }
@@ -62,6 +65,7 @@
     Drain,
     Shrink,
     Evacuate,
+    Reset,
 }
 
 const MEMBER_FAULTS: [Fault; 4] = [Fault::Kill, Fault::Leave, Fault::Freeze, Fault::Cut];
@@ -77,6 +81,7 @@
 const REBORN_FAULTS: [Fault; 4] = [Fault::Drain, Fault::Drain, Fault::Crash, Fault::Crash];
 const SHRINKING_FAULTS: [Fault; 4] = [Fault::Shrink; 4];
 const EVACUATED_FAULTS: [Fault; 3] = [Fault::Evacuate; 3];
+const RESET_FAULTS: [Fault; 3] = [Fault::Reset; 3];
 const WORKER_FAULTS: [Fault; 6] = [
     Fault::Crash,
     Fault::Hang,
@@ -99,6 +104,7 @@
         let reborn = REBORN_FAULTS.iter().filter(|_| plan.reborn);
         let shrinking = SHRINKING_FAULTS.iter().filter(|_| plan.shrinking);
         let evacuated = EVACUATED_FAULTS.iter().filter(|_| plan.evacuated);
+        let resets = RESET_FAULTS.iter().filter(|_| plan.resets);
         let Some(fault) = members
             .chain(workers)
             .chain(held)
@@ -107,6 +113,7 @@
             .chain(reborn)
             .chain(shrinking)
             .chain(evacuated)
+            .chain(resets)
             .choose(&mut self.random)
             .copied()
         else {
@@ -136,6 +143,7 @@
             Fault::Drain => self.drain_worker(),
             Fault::Shrink => self.shrink_worker(lasts),
             Fault::Evacuate => self.evacuate(),
+            Fault::Reset => self.reset_connections(),
         }
     }
 }
--- a/crates/celerywinch_bench/src/members/mod.rs
+++ b/crates/celerywinch_bench/src/members/mod.rs
@@ -11,6 +11,7 @@
 mod lives;
 mod load;
 mod refusals;
+mod resets;
 mod wire;
 mod workers;
 mod world;
--- a/crates/celerywinch_bench/src/members/world.rs
+++ b/crates/celerywinch_bench/src/members/world.rs
@@ -22,6 +22,7 @@
 use super::lives::Word;
 use super::load::{ClassFigures, LoadPlan};
 use super::refusals::Refusals;
+use super::resets::Resets;
 use super::wire::{Control, Wire, size_of};
 use super::workers::{OnWay, Unanswered, WorkerHost};
 
@@ -120,6 +121,7 @@
     Online(usize),
     RefuseAgain,
     Admit,
+    Reopened(usize, usize),
 }
 
 /// Which process of a member has sent a message.
@@ -180,6 +182,7 @@
     pub(crate) apart: Apart,
     /// Members that are refused connections.
     pub(crate) refusals: Refusals,
+    pub(crate) resets: Resets,
     /// The evacuations that the keepers have acknowledged.
     pub(crate) acknowledged: AcknowledgedEvacuations,
 }
@@ -225,6 +228,7 @@
             cut: BTreeSet::new(),
             apart: Apart::default(),
             refusals: Refusals::default(),
+            resets: Resets::default(),
             acknowledged: AcknowledgedEvacuations::default(),
             options,
         };
@@ -343,6 +347,7 @@
             Event::Online(member) => self.online(member),
             Event::RefuseAgain => self.refuse_again(),
             Event::Admit => self.admit(),
+            Event::Reopened(from, to) => self.reopened(from, to),
         }
     }
 
@@ -461,7 +466,7 @@
             return;
         }
         let down = from != to && (self.is_offline(from) || self.is_offline(to));
-        if down || self.refusals.contain(from, to) {
+        if down || self.refusals.contain(from, to) || self.resets.loses(self.now, from, to) {
             return;
         }
         let life = self.members[to].life;
--- a/crates/celerywinch_bench/tests/members_divided.rs
+++ b/crates/celerywinch_bench/tests/members_divided.rs
@@ -1,7 +1,7 @@
 //! A deployment so large that its workers are divided among many dispatchers, in simulated time.
 
 use celerywinch_bench::members::{
-    ClassFigures, ClassPlan, LoadPlan, MembersOptions, Violation, brief_classes, run,
+    ClassFigures, ClassPlan, FaultPlan, LoadPlan, MembersOptions, Violation, brief_classes, run,
 };
 use celerywinch_types::Without;
 use rstest::rstest;
@@ -65,3 +65,21 @@
     let mean = shares.iter().sum::<usize>() / shares.len();
     assert!(mean >= wanted, "{shares:?} of 1000");
 }
+
+/// Guards against two runs of one task at once: connections are reset in series, and callers whose connections broke as they sent
+/// their jobs send them again at once, to other entries, which hand them to other dispatchers.
+#[rstest]
+#[case(1)]
+#[case(2)]
+#[case(3)]
+fn history_holds_over_resets_of_connections(#[case] seed: u64) {
+    let mut options = options(seed, 6_000);
+    options.faults = Some(FaultPlan {
+        every: 300,
+        resets: true,
+        ..FaultPlan::default()
+    });
+    let report = run(options);
+    assert_eq!(report.violations, Vec::<Violation>::new());
+    assert!(report.runs.0 > 1_000, "the run did too little: {report:?}");
+}
--- a/crates/celerywinch_bench/tests/members_lives.rs
+++ b/crates/celerywinch_bench/tests/members_lives.rs
@@ -47,6 +47,7 @@
     shrinking: false,
     crashing: false,
     evacuated: false,
+    resets: false,
     drift: false,
 };
 
--- a/crates/celerywinch_fleet/src/core.rs
+++ b/crates/celerywinch_fleet/src/core.rs
@@ -329,6 +329,9 @@
                         };
                         self.take(msg);
                     }
+                    if self.member.has_arrivals() {
+                        self.input(self.clock.now(), Input::Flush);
+                    }
                 }
                 Err(_) => self.notice_pause(),
             }
--- a/crates/celerywinch_member/src/member.rs
+++ b/crates/celerywinch_member/src/member.rs
@@ -73,10 +73,12 @@
     Learned(Learned),
     /// Workers that ended under tasks, as another dispatcher knows.
     Crashes(Vec<(TaskId, Crashes)>),
-    /// A caller submits a job.
+    /// A caller submits a job; it is handed in at the next `Flush` or `Tick`.
     Submit(CallerId, NewJob),
     /// A caller waits no more.
     CallerGone(CallerId),
+    /// All that has arrived together was taken.
+    Flush,
     /// What came of a call to a worker.
     Answered(CallKey, Answer),
     /// A worker's answer came after its time, as the dispatcher is told.
@@ -155,6 +157,8 @@
     pub(crate) crashes: BTreeMap<TaskId, Crashes>,
     /// Work of this process for itself.
     own: VecDeque<WorkMsg>,
+    /// Jobs that were submitted since the last flush.
+    arrivals: Vec<(CallerId, NewJob)>,
 }
 
 impl Member {
@@ -194,6 +198,7 @@
             holdings: Vec::new(),
             crashes: BTreeMap::new(),
             own: VecDeque::new(),
+            arrivals: Vec::new(),
             config,
         }
     }
@@ -207,7 +212,13 @@
     /// How many jobs of callers are open.
     #[must_use]
     pub fn open_jobs(&self) -> usize {
-        self.origin.open_jobs()
+        self.origin.open_jobs() + self.arrivals.len()
+    }
+
+    /// Whether a job waits for the next flush.
+    #[must_use]
+    pub fn has_arrivals(&self) -> bool {
+        !self.arrivals.is_empty()
     }
 
     /// Whether callers should be sent here: it knows the configuration, does not leave, and there is a
@@ -220,7 +231,7 @@
     /// Whether work is open here, of callers or as dispatcher.
     #[must_use]
     pub fn is_busy(&self) -> bool {
-        !self.pool.is_idle() || self.origin.open_jobs() > 0
+        !self.pool.is_idle() || self.open_jobs() > 0
     }
 
     /// The open work, of callers and as dispatcher, a line for each job or step. For logs and checks.
@@ -271,12 +282,9 @@
             Input::Workers(notes) => self.pool_input(now, PoolInput::Workers(notes), out),
             Input::Learned(learned) => self.pool.learn_from(learned),
             Input::Crashes(told) => self.pool_input(now, PoolInput::Crashes(told), out),
-            Input::Submit(caller, job) => {
-                self.origin_input(now, OriginInput::Submit(caller, job), out);
-            }
-            Input::CallerGone(caller) => {
-                self.origin_input(now, OriginInput::CallerGone(caller), out);
-            }
+            Input::Submit(caller, job) => self.arrivals.push((caller, job)),
+            Input::CallerGone(caller) => self.caller_gone(now, caller, out),
+            Input::Flush => self.flush(now, out),
             Input::Answered(key, answer) => {
                 self.pool_input(now, PoolInput::Answered(key, answer), out);
             }
@@ -300,6 +308,32 @@
         }
     }
 
+    /// Takes up the jobs that were submitted since the last time.
+    ///
+    /// A request that arrived on a connection which has broken since is read together with the break. Its caller
+    /// sends the job again at once, to another entry: handed in here first, it would run beside that until the
+    /// worker has carried out the stop.
+    fn flush(&mut self, now: Time, out: &mut Vec<Output>) {
+        for (caller, job) in std::mem::take(&mut self.arrivals) {
+            self.origin_input(now, OriginInput::Submit(caller, job), out);
+        }
+    }
+
+    fn caller_gone(&mut self, now: Time, caller: CallerId, out: &mut Vec<Output>) {
+        let arrived = self.arrivals.iter().position(|(other, _)| *other == caller);
+        match arrived {
+            Some(index) => {
+                let (_, job) = self.arrivals.remove(index);
+                let note = JobNote::CallerLeft {
+                    job: job.id,
+                    took: 0,
+                };
+                out.push(Output::Origin(note));
+            }
+            None => self.origin_input(now, OriginInput::CallerGone(caller), out),
+        }
+    }
+
     fn set_stage(&mut self, stage: Stage, out: &mut Vec<Output>) {
         self.stage = stage;
         self.domains.set_stage(stage);
@@ -320,6 +354,7 @@
     }
 
     fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.flush(now, out);
         self.compare_alive(now, out);
         for peer in self.peers.forget(now) {
             self.lost.remove(&peer);
--- /dev/null
+++ b/crates/celerywinch_member/tests/arrivals.rs
@@ -0,0 +1,86 @@
+//! Jobs whose callers are gone before they are handed in.
+
+use celerywinch_member::{Input, Member, MemberConfig, Output};
+use celerywinch_origin::{CallerId, JobNote, NewJob};
+use celerywinch_pool::PoolConfig;
+use celerywinch_types::{
+    DataCentreId, Incarnation, InstanceId, JobId, JobPlan, Part, Process, Queue, Room, RunNumber,
+    StepPlan, Time, WallMs,
+};
+use rstest::rstest;
+
+const CALLER: CallerId = CallerId(5);
+const JOB: JobId = JobId(77);
+
+fn member() -> Member {
+    let config = MemberConfig {
+        me: Process {
+            instance: InstanceId(1),
+            incarnation: Incarnation(1),
+        },
+        part: Part::Entry,
+        dc: DataCentreId(0),
+        dcs: [DataCentreId(0)].into(),
+        shard: 80,
+        pool: PoolConfig::default(),
+    };
+    Member::new(config, Time(0), WallMs(1))
+}
+
+fn job() -> NewJob {
+    NewJob {
+        id: JOB,
+        queue: Queue {
+            name: "q".to_owned(),
+            host: "h".to_owned(),
+            prefix: "/q/".to_owned(),
+            service: "s".to_owned(),
+            priority: 0,
+            attempts: 3,
+            slack: 1_600,
+            target: 60,
+            timeout: 1_500,
+            advised: false,
+        },
+        plan: JobPlan {
+            spec: String::new(),
+            steps: vec![StepPlan {
+                count: 1,
+                need: Room::default(),
+                estimate: 200,
+                after: Vec::new(),
+                label: None,
+                rack: None,
+                spread: None,
+            }],
+        },
+        first_run: RunNumber(1),
+    }
+}
+
+struct Case {
+    /// What happens to the caller before all that has arrived with its request was taken.
+    gone: bool,
+    submitted: usize,
+}
+
+/// Guards against two runs of one task at once: a request is read together with the break of its connection, and its caller has
+/// sent the job to another entry.
+#[rstest]
+#[case::gone(Case { gone: true, submitted: 0 })]
+#[case::there(Case { gone: false, submitted: 1 })]
+fn job_whose_caller_is_gone_is_not_handed_in(#[case] case: Case) {
+    let mut member = member();
+    let mut out = Vec::new();
+    member.handle(Time(1), Input::Submit(CALLER, job()), &mut out);
+    assert!(member.has_arrivals() && member.is_busy());
+    if case.gone {
+        member.handle(Time(2), Input::CallerGone(CALLER), &mut out);
+    }
+    member.handle(Time(3), Input::Flush, &mut out);
+    let submitted = |output: &&Output| matches!(output, Output::Origin(JobNote::Submitted { .. }));
+    assert_eq!(out.iter().filter(submitted).count(), case.submitted);
+    let left = Output::Origin(JobNote::CallerLeft { job: JOB, took: 0 });
+    assert_eq!(out.contains(&left), case.gone);
+    assert_eq!(member.open_jobs(), case.submitted);
+}
--- a/crates/celerywinch_member/tests/probes.rs
+++ b/crates/celerywinch_member/tests/probes.rs
@@ -194,6 +194,7 @@
         if step >= 20 {
             let job = job(u64::from(step as u32));
             member.handle(now, Input::Submit(CallerId(job.id.0), job), &mut out);
+            member.handle(now, Input::Flush, &mut out);
         }
         for output in out {
             let Output::Send(to, msg) = output else {
--- a/crates/celerywinch_pool/src/submit.rs
+++ b/crates/celerywinch_pool/src/submit.rs
@@ -10,6 +10,11 @@
 use crate::Note;
 use crate::job::{Batch, BatchKey, Task, TaskState};
 use crate::pool::{Output, Pool};
+use crate::run::Run;
+
+/// A caller whose connection broke as it sent its job sends it again within this time. Where it waits for the answer it does so
+/// only after 1.3 s, when nothing of the first attempt is left.
+const SENT_AGAIN: Duration = Duration::from_millis(300);
 
 impl Pool {
     /// Takes the tasks of a step in, unless the job is refused; new ones, or those of a step that is known.
@@ -219,10 +224,48 @@
             avoid: None,
         };
         self.batches[key].tasks.insert(order.index, task);
-        if order.doubt == Doubt::None {
-            self.give_up(now, key, order.index, out);
-        } else {
+        if self.take_stopping_run(key, order.index) {
+            return;
+        }
+        if order.doubt != Doubt::None {
             self.settle(now, key, order.index);
+        } else if self.may_be_elsewhere(now, key, id) {
+            let until = now + self.config.limbo;
+            self.set_task(key, order.index, TaskState::Limbo(until));
+        } else {
+            self.give_up(now, key, order.index, out);
         }
     }
+
+    /// Gives a task the run that it still has here, though nobody wanted that any more: a caller whose connection broke sends its job
+    /// again before the worker has carried out the stop. The task is started anew when the run has ended.
+    fn take_stopping_run(&mut self, key: BatchKey, index: u16) -> bool {
+        let id = self.batches[key].id(index);
+        let unwanted = |run: &Run| run.task == id && run.batch.is_none();
+        let runs = self.runs.iter().filter(|(_, run)| unwanted(run));
+        let Some((run, number)) = runs
+            .map(|(run_key, run)| (run_key, run.number))
+            .max_by_key(|(_, number)| *number)
+        else {
+            return false;
+        };
+        self.runs[run].batch = Some(key);
+        let batch = &mut self.batches[key];
+        batch.begun = true;
+        if let Some(task) = batch.tasks.get_mut(&index) {
+            task.state = TaskState::Running(run);
+            task.run = task.run.max(number);
+        }
+        true
+    }
+
+    /// Whether a task was given back to another origin a moment ago, which may have it done elsewhere. Its caller has sent the
+    /// job to both, and which of them it left is not known here before the cancellation.
+    fn may_be_elsewhere(&self, now: Time, key: BatchKey, id: TaskId) -> bool {
+        let origin = self.batches[key].origin;
+        self.told.get(&id).is_some_and(|told| {
+            let lately = now.since(told.at) <= SENT_AGAIN;
+            lately && told.origin != origin && told.news.gives_back()
+        })
+    }
 }
--- a/crates/celerywinch_pool/src/takeover.rs
+++ b/crates/celerywinch_pool/src/takeover.rs
@@ -201,7 +201,7 @@
         worker.look_at = now;
     }
 
-    fn set_task(&mut self, key: BatchKey, index: u16, state: TaskState) {
+    pub(crate) fn set_task(&mut self, key: BatchKey, index: u16, state: TaskState) {
         self.unqueue(key);
         if let Some(task) = self.batches[key].tasks.get_mut(&index) {
             task.state = state;
--- a/crates/celerywinch_pool/tests/grants.rs
+++ b/crates/celerywinch_pool/tests/grants.rs
@@ -276,3 +276,85 @@
     remote.rig.take(Input::Tick);
     assert_eq!((remote.starts(), remote.rig.count(is_stop)), (1, stops));
 }
+
+/// Guards against two runs of one task at once: a caller sends its job again to another entry before the worker has carried out
+/// the stop of the first run.
+#[rstest]
+#[case::cut(How::Cut)]
+#[case::done(How::Done)]
+fn task_waits_for_the_end_of_a_run_that_is_being_stopped(#[case] how: How) {
+    let mut rig = Rig::new(Vec::new(), Vec::new());
+    rig.submit(step(Doubt::None, 0));
+    let start = rig.last(is_start);
+    rig.answer(&start, Answer::Taken(clock()));
+    let cancel = WorkMsg::Cancel {
+        job: rig::JOB,
+        last: 1,
+    };
+    rig.take(Input::Work(ORIGIN, cancel));
+    let stop = rig.last(is_stop);
+    rig.submit(step(Doubt::None, 0));
+    assert_eq!(rig.count(is_start), 1, "the first run is there yet");
+    rig.answer(&stop, Answer::Taken(clock()));
+    let look = rig.last(is_look);
+    rig.answer(&look, lists(Vec::new(), vec![ended(1, how)]));
+    let told: &[_] = if how == How::Done {
+        &[TaskEnd::Done]
+    } else {
+        &[]
+    };
+    assert_eq!(
+        rig.told.iter().map(|(_, end)| *end).collect::<Vec<_>>(),
+        told
+    );
+    let starts = 1 + usize::from(how == How::Cut);
+    assert_eq!(rig.count(is_start), starts);
+}
+
+struct SentAgain {
+    /// Ms from what the first origin was told to the second hand-in.
+    after: u64,
+    /// Whether the second hand-in is of another origin.
+    other: bool,
+    starts: usize,
+}
+
+/// Guards against two runs of one task at once: a dispatcher without room gives a task back, its origin has it done elsewhere, and
+/// the hand-in of another origin, whose caller is gone, comes when there is room.
+#[rstest]
+#[case::at_once(SentAgain { after: 20, other: true, starts: 1 })]
+#[case::later(SentAgain { after: 1_300, other: true, starts: 2 })]
+#[case::same_origin(SentAgain { after: 20, other: false, starts: 2 })]
+fn task_that_went_elsewhere_a_moment_ago_is_not_started(#[case] case: SentAgain) {
+    let mut rig = Rig::new(Vec::new(), Vec::new());
+    let mut full = step(Doubt::None, 0);
+    full.need = rig::ROOM;
+    full.job = JobId(1);
+    rig.submit(full);
+    let start = rig.last(is_start);
+    rig.answer(&start, Answer::Taken(clock()));
+    let mut passed = step(Doubt::None, 0);
+    passed.pass = true;
+    rig.submit(passed);
+    assert_eq!(rig.told.last().map(|(_, end)| *end), Some(TaskEnd::Full));
+    let cancel = WorkMsg::Cancel {
+        job: JobId(1),
+        last: 1,
+    };
+    rig.take(Input::Work(ORIGIN, cancel));
+    let stop = rig.last(is_stop);
+    rig.answer(&stop, Answer::Taken(clock()));
+    let look = rig.last(is_look);
+    let mut over = ended(1, How::Cut);
+    over.task.job = JobId(1);
+    rig.answer(&look, lists(Vec::new(), vec![over]));
+    rig.wait(case.after);
+    let mut remote = Remote { rig };
+    remote.grant(0, 500);
+    let mut again = step(Doubt::None, 0);
+    again.tasks[0].hand = 2;
+    again.tasks[0].first = 2;
+    let origin = if case.other { REMOTE } else { ORIGIN };
+    remote.rig.take(Input::Work(origin, WorkMsg::Submit(again)));
+    assert_eq!(remote.starts(), case.starts);
+}
