Fetch pieces of the configuration a few at a time, and a newer version beside the one under way

Cause: an entry asks for one piece, waits for it, and asks for the next, and a version that is heard of meanwhile waits for the end of that. 14 pieces took 1,804 ms beside load, 130 ms each: two processes that wait for their processors, not the link.

Change: as many pieces are asked for at once as the link carries in 10 ms, 8 at most, once the first has told the length (one on links of 25 Mbit/s and below, as before). Of a newer version the first piece is fetched beside the transfer under way, which gives way if more of it is left. What is left only falls by that, so some version ends, however often newer ones come. Weighed: a piece of every version at once (a storm of large ones would fill narrow links); keepers that push small versions (they would have to know what an entry has).

--- a/crates/celerywinch_fleet/src/core.rs
+++ b/crates/celerywinch_fleet/src/core.rs
@@ -292,7 +292,7 @@
             tallied: now,
             beaten: Time::default(),
             waiting: HashMap::new(),
-            spread: Spread::new(me.instance, config.part, config.dc),
+            spread: Spread::new(me.instance, config.part, config.dc).with_link(config.link),
             roster: Roster::default(),
             untold: Vec::new(),
             keeping: HashMap::new(),
--- a/crates/celerywinch_fleet/src/spread.rs
+++ b/crates/celerywinch_fleet/src/spread.rs
@@ -1,8 +1,8 @@
 //! How the configuration spreads from the keepers to the entries.
 //!
-//! Keepers tell at once that a version is in force, by a heartbeat. An entry fetches it in pieces, of one process at a
-//! time and one after the other: the piece that is under way is all that heartbeats and answers of workers ever
-//! wait behind. [`Spread`] is a state machine without clock or socket.
+//! Keepers tell at once that a version is in force, by a heartbeat. An entry fetches it in pieces, a few at a time: what is
+//! under way is all that heartbeats and answers of workers ever wait behind. Of a version that is heard of meanwhile the first piece
+//! is fetched beside that; it goes first if less of it is left. [`Spread`] is a state machine without clock or socket.
 
 mod copies;
 mod transfer;
@@ -16,7 +16,7 @@
 use serde::Serialize;
 
 use copies::Copies;
-use transfer::{Taken, Transfer};
+use transfer::{PIECE, Taken, Transfer, window};
 
 /// A process that was not heard for this long is not asked; the window of slow heartbeats.
 const HEARD: Duration = Duration::from_millis(1_750);
@@ -140,7 +140,10 @@
     news: (u64, Time),
     /// The highest version that cannot be read here.
     unreadable: u64,
-    transfer: Option<Transfer>,
+    /// The transfer that goes on, and one of a newer version that has begun; the older first.
+    transfers: Vec<Transfer>,
+    /// Bytes that are asked for at once.
+    window: u64,
 }
 
 impl Spread {
@@ -156,10 +159,19 @@
             silent: BTreeMap::new(),
             news: (0, Time::default()),
             unreadable: 0,
-            transfer: None,
+            transfers: Vec::new(),
+            window: PIECE as u64,
         }
     }
 
+    /// Asks for as many pieces at once as the link carries in a moment; `link` is in bytes a second, none for no bound.
+    /// Without this it is one piece.
+    #[must_use]
+    pub fn with_link(mut self, link: Option<f64>) -> Self {
+        self.window = window(link);
+        self
+    }
+
     /// The version in force; 0 if none is.
     #[must_use]
     pub fn version(&self) -> u64 {
@@ -198,9 +210,7 @@
     fn hold(&mut self, now: Time, held: Held, out: &mut Vec<SpreadOutput>) {
         let version = held.version;
         self.copies.add(now, held);
-        if self.transfer.as_ref().is_some_and(|t| t.version <= version) {
-            self.transfer = None;
-        }
+        self.transfers.retain(|t| t.version > version);
         if self.part == Part::Keeper {
             let heard = self.alive(now);
             let entries = heard.filter(|told| told.part == Part::Entry);
@@ -208,13 +218,14 @@
             out.push(SpreadOutput::Tell(entries));
         }
         self.begin(now, out);
+        self.proceed(now, out);
     }
 
     fn tick(&mut self, now: Time, out: &mut Vec<SpreadOutput>) {
         self.heard.retain(|_, (_, at)| now.since(*at) <= HEARD);
         // While a transfer goes on, who has not sent stays behind who was not asked since: with several such
         // sources, a mark that ended before the last of them was given up would bring the first one back, for ever.
-        if self.transfer.is_none() {
+        if self.transfers.is_empty() {
             self.silent.retain(|_, at| now.since(*at) <= SILENT);
         }
         self.copies.forget(now);
@@ -241,14 +252,15 @@
         });
     }
 
-    /// Begins to fetch the newest version, if there is a newer one than the one here. A transfer that is under way
-    /// ends first: with changes in quick succession none would end else.
+    /// Begins to fetch the newest version, if there is a newer one than the one here. The transfer under way goes on, and only
+    /// gives way to one that has less left: with changes in quick succession none would end else.
     fn begin(&mut self, now: Time, out: &mut Vec<SpreadOutput>) {
-        if self.part == Part::Keeper || self.transfer.is_some() {
+        if self.part == Part::Keeper {
             return;
         }
         let version = self.newest(now);
-        if version <= self.version().max(self.unreadable) {
+        let latest = self.transfers.last().map_or(0, |t| t.version);
+        if version <= self.version().max(self.unreadable).max(latest) {
             return;
         }
         let Some(source) = self.best(now, version) else {
@@ -259,43 +271,55 @@
         } else {
             now
         };
-        let transfer = Transfer::new(version, source, first, now);
+        let mut transfer = Transfer::new(version, source, first, now);
         out.push(SpreadOutput::Note(SpreadNote::DocumentBegun {
             version,
             source,
         }));
-        out.push(transfer.want());
-        self.transfer = Some(transfer);
+        transfer.ask(now, self.window, out);
+        self.transfers.truncate(1);
+        self.transfers.push(transfer);
     }
 
     /// A piece that was not waited for any more counts too, whoever sent it.
     fn piece(&mut self, now: Time, from: InstanceId, piece: Piece, out: &mut Vec<SpreadOutput>) {
-        let Some(transfer) = &mut self.transfer else {
+        let Some(at) = self.transfers.iter().position(|t| t.lacks(&piece)) else {
             return;
         };
-        if !transfer.is_next(&piece) {
-            return;
-        }
-        match transfer.take(now, piece) {
+        match self.transfers[at].take(now, piece) {
             Taken::More => {
                 self.silent.remove(&from);
-                self.ask(now, false, out);
+                self.proceed(now, out);
             }
             Taken::Whole => {
                 self.silent.remove(&from);
-                self.finish(now, out);
+                self.finish(now, at, out);
             }
             Taken::Bad(reason) => {
                 self.silent.insert(from, now);
-                self.drop_transfer(from, reason, out);
+                self.drop_transfer(at, from, reason, out);
+                self.proceed(now, out);
             }
         }
     }
 
-    fn finish(&mut self, now: Time, out: &mut Vec<SpreadOutput>) {
-        let Some(transfer) = self.transfer.take() else {
-            return;
-        };
+    /// Asks for what comes next: of the older transfer, unless less is left of the newer one. What is left only falls by that, so
+    /// some version is whole in the end, however often newer ones come.
+    fn proceed(&mut self, now: Time, out: &mut Vec<SpreadOutput>) {
+        if let [older, newer] = &self.transfers[..]
+            && let Some(left) = newer.left()
+            && older.left().is_none_or(|older| left < older)
+        {
+            self.drop_transfer(0, self.transfers[0].source, "overtaken", out);
+        }
+        if !self.transfers.is_empty() {
+            self.choose_source(now, 0, false, out);
+            self.transfers[0].ask(now, self.window, out);
+        }
+    }
+
+    fn finish(&mut self, now: Time, at: usize, out: &mut Vec<SpreadOutput>) {
+        let transfer = self.transfers.remove(at);
         let took = now.since(transfer.first).as_millis();
         out.push(SpreadOutput::Note(SpreadNote::DocumentWhole {
             version: transfer.version,
@@ -306,40 +330,45 @@
         out.push(SpreadOutput::Whole(transfer.into_held()));
     }
 
-    /// The piece under way does not come.
+    /// Pieces under way do not come.
     fn miss(&mut self, now: Time, out: &mut Vec<SpreadOutput>) {
-        let newest = self.newest(now);
-        let Some(transfer) = &mut self.transfer else {
-            return;
-        };
-        if !transfer.is_overdue(now) {
-            return;
+        for at in (0..self.transfers.len()).rev() {
+            if self.transfers[at].is_overdue(now) {
+                self.missed(now, at, out);
+            }
         }
+    }
+
+    fn missed(&mut self, now: Time, at: usize, out: &mut Vec<SpreadOutput>) {
+        let newest = self.newest(now);
+        let transfer = &mut self.transfers[at];
         let source = transfer.source;
         let misses = transfer.miss(now);
         let version = transfer.version;
         self.silent.insert(source, now);
         // A version that nobody has any more, as its only source was lost, would else keep from the one below it.
-        if misses >= MISSES && newest > version {
-            self.drop_transfer(source, "overtaken", out);
-        } else if misses >= MISSES && newest < version {
-            self.drop_transfer(source, "nobody has it", out);
+        if misses >= MISSES && newest != version {
+            let reason = if newest > version {
+                "overtaken"
+            } else {
+                "nobody has it"
+            };
+            self.drop_transfer(at, source, reason, out);
+            self.proceed(now, out);
         } else {
-            self.ask(now, true, out);
+            self.choose_source(now, at, true, out);
+            self.transfers[at].ask_again(now, self.window, out);
         }
     }
 
-    /// Asks the best source for the next piece.
-    fn ask(&mut self, now: Time, silent: bool, out: &mut Vec<SpreadOutput>) {
-        let version = self.transfer.as_ref().map_or(0, |t| t.version);
+    /// Chooses who is asked for the next pieces.
+    fn choose_source(&mut self, now: Time, at: usize, silent: bool, out: &mut Vec<SpreadOutput>) {
+        let version = self.transfers[at].version;
         let best = self.best(now, version);
-        let Some(transfer) = &mut self.transfer else {
-            return;
-        };
+        let transfer = &mut self.transfers[at];
         // Without any, the one before is asked again; it may be heard by then.
         let to = best.unwrap_or(transfer.source);
-        let from = transfer.source;
-        transfer.ask(now, to);
+        let from = std::mem::replace(&mut transfer.source, to);
         if to != from {
             out.push(SpreadOutput::Note(SpreadNote::DocumentMoved {
                 version,
@@ -349,23 +378,22 @@
                 silent,
             }));
         }
-        out.push(transfer.want());
     }
 
     fn drop_transfer(
         &mut self,
+        at: usize,
         source: InstanceId,
         reason: &'static str,
         out: &mut Vec<SpreadOutput>,
     ) {
-        if let Some(transfer) = self.transfer.take() {
-            out.push(SpreadOutput::Note(SpreadNote::DocumentDropped {
-                version: transfer.version,
-                source,
-                offset: transfer.offset(),
-                reason,
-            }));
-        }
+        let transfer = self.transfers.remove(at);
+        out.push(SpreadOutput::Note(SpreadNote::DocumentDropped {
+            version: transfer.version,
+            source,
+            offset: transfer.offset(),
+            reason,
+        }));
     }
 
     fn alive(&self, now: Time) -> impl Iterator<Item = &Told> {
--- a/crates/celerywinch_fleet/tests/sources.rs
+++ b/crates/celerywinch_fleet/tests/sources.rs
@@ -39,6 +39,13 @@
             takes,
         }
     }
+
+    fn hold(&mut self, now: Time, version: u64, bytes: usize) {
+        let document = vec![version as u8; bytes];
+        let held = SpreadInput::Held(Held { version, document });
+        self.spread.handle(now, held, &mut Vec::new());
+        self.told.version = version;
+    }
 }
 
 /// 200 KB: 13 pieces.
@@ -164,3 +171,51 @@
     entry.pass(10_000);
     assert_eq!(entry.whole, [8]);
 }
+
+/// What a piece takes where both ends are busy, whatever the link carries, in ms.
+const BUSY_MS: u64 = 130;
+
+struct Overtaken {
+    /// What the link carries, in bytes a second; none for no bound.
+    link: Option<f64>,
+    /// Bytes of the version that is heard of while another one is fetched.
+    newer: usize,
+    /// When it has to be in force, in ms after that.
+    within: u64,
+}
+
+/// Guards against routes that are obeyed after they must be gone: an entry and its source are busy, so that each piece takes long,
+/// and a newer version waits for the one under way.
+#[rstest]
+#[case::small(Overtaken { link: Some(3e6), newer: 100, within: 300 })]
+#[case::smaller(Overtaken { link: Some(3e6), newer: 60_000, within: 900 })]
+#[case::as_large(Overtaken { link: None, newer: 200_000, within: 1_500 })]
+fn newer_version_is_in_force_in_time(#[case] case: Overtaken) {
+    let keeper = Source::new(10, Part::Keeper, 8, Some(BUSY_MS));
+    let mut entry = Entry::new(7, vec![keeper]);
+    entry.spread = Spread::new(ME, Part::Entry, DC).with_link(case.link);
+    entry.take(SpreadInput::Held(document(7)));
+    entry.pass(BUSY_MS * 2);
+    entry.sources[0].hold(entry.now, 9, case.newer);
+    entry.pass(case.within);
+    assert_eq!(entry.whole.last(), Some(&9));
+}
+
+/// Guards against versions that never come into force: one newer than the other is heard of while each is fetched.
+#[rstest]
+#[case::as_large(|_| 200_000)]
+#[case::smaller_and_smaller(|n| 200_000 - n as usize * 4_000)]
+#[case::large_and_small(|n| if n % 2 == 0 { 200_000 } else { 40_000 })]
+fn versions_in_quick_succession_come_into_force(#[case] bytes: fn(u64) -> usize) {
+    let keeper = Source::new(10, Part::Keeper, 8, Some(BUSY_MS));
+    let mut entry = Entry::new(7, vec![keeper]);
+    for n in 0..40 {
+        entry.sources[0].hold(entry.now, 9 + n, bytes(n));
+        entry.pass(250);
+    }
+    assert!(entry.whole.len() >= 4, "{:?}", entry.whole);
+    let rising = entry.whole.windows(2).all(|pair| pair[0] < pair[1]);
+    assert!(rising, "{:?}", entry.whole);
+    entry.pass(3_000);
+    assert_eq!(entry.whole.last(), Some(&48));
+}
--- a/crates/celerywinch_fleet/tests/wire/mod.rs
+++ b/crates/celerywinch_fleet/tests/wire/mod.rs
@@ -153,6 +153,7 @@
             Part::Entry => id % DCS,
         };
         let spread = Spread::new(InstanceId(id), part, DataCentreId(dc as u8));
+        let spread = spread.with_link(Some(ENTRY_RATE as f64 * 1e3));
         let node = Node {
             spread,
             part,
