Give up jobs that seem to end their workers when those fall silent

Cause: that a worker has gone counted only when its lease was over (0.85 s). By then a job had ended as many workers as it has tasks, started them on the next ones, and was given up never within its caller's 1.5 s.

Change: the lease still bounds when a task may be started elsewhere. But as its worker misses the second call (0.3 s), a step of which the first task was there, or of which all workers are silent, is given up as unsure, and not started again. First tasks get a worker of their own where there is one, are looked at as soon as they have been at work for 50 ms, and the rest goes to other dispatchers if there is no room. Dispatchers tell each other which queues are started with care.

Tests that failed before: step_that_seems_to_end_its_workers_is_given_up_at_once, first_task_is_looked_at_once_it_has_been_at_work_for_a_moment.

--- a/crates/celerywinch_bench/src/members/world.rs
+++ b/crates/celerywinch_bench/src/members/world.rs
@@ -401,6 +401,7 @@
             FleetMsg::Workers(notes) => Input::Workers(notes),
             FleetMsg::Learned(learned) => Input::Learned(learned),
             FleetMsg::Crashes(told) => Input::Crashes(told),
+            FleetMsg::Careful(queues) => Input::Careful(queues),
             _ => return,
         };
         self.input(index, input);
--- a/crates/celerywinch_fleet/src/metrics.rs
+++ b/crates/celerywinch_fleet/src/metrics.rs
@@ -198,7 +198,7 @@
             FleetMsg::Spread(_) => KINDS[5],
             FleetMsg::Work(_) => KINDS[6],
             FleetMsg::Learned(_) => KINDS[7],
-            FleetMsg::Crashes(_) => KINDS[8],
+            FleetMsg::Crashes(_) | FleetMsg::Careful(_) => KINDS[8],
         };
         self.messages.with_label_values(&[kind]).inc();
         let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
--- a/crates/celerywinch_member/src/beats.rs
+++ b/crates/celerywinch_member/src/beats.rs
@@ -385,13 +385,17 @@
     }
 
     pub(crate) fn spread_crashes(&mut self, now: Time, out: &mut Vec<Output>) {
-        if self.crashes.is_empty() {
-            return;
-        }
-        let told: Vec<_> = std::mem::take(&mut self.crashes).into_iter().collect();
+        let crashes: Vec<_> = std::mem::take(&mut self.crashes).into_iter().collect();
+        let careful: Vec<_> = std::mem::take(&mut self.careful).into_iter().collect();
         for (peer, view) in self.peers.alive(now) {
-            if self.spread_crashes_to(peer, view) {
-                out.push(Output::Send(peer, FleetMsg::Crashes(told.clone())));
+            if !self.spread_crashes_to(peer, view) {
+                continue;
+            }
+            if !crashes.is_empty() {
+                out.push(Output::Send(peer, FleetMsg::Crashes(crashes.clone())));
+            }
+            if !careful.is_empty() {
+                out.push(Output::Send(peer, FleetMsg::Careful(careful.clone())));
             }
         }
     }
--- a/crates/celerywinch_member/src/member.rs
+++ b/crates/celerywinch_member/src/member.rs
@@ -73,6 +73,8 @@
     Learned(Learned),
     /// Workers that ended under tasks, as another dispatcher knows.
     Crashes(Vec<(TaskId, Crashes)>),
+    /// Queues whose steps another dispatcher starts with care.
+    Careful(Vec<String>),
     /// A caller submits a job; it is handed in at the next `Flush` or `Tick`.
     Submit(CallerId, NewJob),
     /// A caller waits no more.
@@ -155,6 +157,8 @@
     pub(crate) holdings: Vec<Holding>,
     /// Workers that ended under tasks, which other dispatchers have to know.
     pub(crate) crashes: BTreeMap<TaskId, Crashes>,
+    /// Queues that are started with care, which other dispatchers have to know.
+    pub(crate) careful: BTreeSet<String>,
     /// Work of this process for itself.
     own: VecDeque<WorkMsg>,
     /// Jobs that were submitted since the last flush.
@@ -197,6 +201,7 @@
             compared: Time::default(),
             holdings: Vec::new(),
             crashes: BTreeMap::new(),
+            careful: BTreeSet::new(),
             own: VecDeque::new(),
             arrivals: Vec::new(),
             config,
@@ -282,6 +287,7 @@
             Input::Workers(notes) => self.pool_input(now, PoolInput::Workers(notes), out),
             Input::Learned(learned) => self.pool.learn_from(learned),
             Input::Crashes(told) => self.pool_input(now, PoolInput::Crashes(told), out),
+            Input::Careful(queues) => self.pool_input(now, PoolInput::Careful(queues), out),
             Input::Submit(caller, job) => self.arrivals.push((caller, job)),
             Input::CallerGone(caller) => self.caller_gone(now, caller, out),
             Input::Flush => self.flush(now, out),
@@ -650,6 +656,9 @@
                 celerywinch_pool::Output::Crashed(task, crashes) => {
                     self.crashes.insert(task, crashes);
                 }
+                celerywinch_pool::Output::Careful(queue) => {
+                    self.careful.insert(queue);
+                }
                 celerywinch_pool::Output::Note(note) => out.push(Output::Dispatch(note)),
             }
         }
--- a/crates/celerywinch_pool/src/crashes.rs
+++ b/crates/celerywinch_pool/src/crashes.rs
@@ -3,10 +3,11 @@
 //! A worker that is gone ends all that was there, and one task of these may have ended it. Which one shows by where they start
 //! next: never two of them on one worker. A task is given up after a few; until a queue has been without such tasks for some
 //! seconds, its steps start with one task, and the others follow when that has been at work for a moment. So a step whose tasks all
-//! end their workers takes one at a time. What one dispatcher knows the others are told, as the caller sends the job again to another
+//! end their workers takes one at a time, and is not started again. That a worker is gone need not be certain for that: its
+//! silence bounds what else is started there, its lease only when a task may be started elsewhere. What one dispatcher knows the others are told, as the caller sends the job again to another
 //! origin, which may hand it to another dispatcher.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use celerywinch_types::{Crashes, Incarnation, TaskEnd, TaskId, Time, WorkMsg};
@@ -14,8 +15,9 @@
 use crate::Note;
 use crate::job::{Batch, BatchKey, TaskState};
 use crate::pool::{Output, Pool};
+use crate::results::SILENT_LOOKS;
 use crate::run::Run;
-use crate::worker::Worker;
+use crate::worker::{Worker, WorkerKey};
 
 /// What ended under a task is remembered for so long: its caller sends the job again, also to another origin.
 const REMEMBER: Duration = Duration::from_secs(30);
@@ -24,6 +26,9 @@
 /// A first task that is at work for this long does not end its worker by being started.
 const AT_WORK: Duration = Duration::from_millis(50);
 
+/// So many silent workers of one step are no coincidence.
+const SEVERAL: usize = 2;
+
 /// A worker that fell silent with tasks.
 #[derive(Clone, Debug)]
 struct Silenced {
@@ -55,8 +60,24 @@
 }
 
 impl Pool {
-    pub(crate) fn tend_crashes(&mut self, now: Time) {
+    pub(crate) fn tend_crashes(&mut self, now: Time, out: &mut Vec<Output>) {
         self.crashes.forget(now);
+        self.check_probes(now, out);
+    }
+
+    /// Asks whether first tasks are at work, as soon as that shows something: the others of their steps wait for it, and the look
+    /// that is under way may wait for an end.
+    fn check_probes(&mut self, now: Time, out: &mut Vec<Output>) {
+        let due = |run: &&Run| run.probe && now.since(run.started) >= AT_WORK;
+        let unproved = |run: &&Run| {
+            let batch = run.batch.and_then(|key| self.batches.get(key));
+            batch.is_some_and(|batch| !batch.proved)
+        };
+        let runs = self.runs.values().filter(due).filter(unproved);
+        let workers: BTreeSet<_> = runs.map(|run| run.worker).collect();
+        for worker in workers {
+            self.check(worker, out);
+        }
     }
 
     /// A worker fell silent until its lease was over, with this run.
@@ -142,16 +163,85 @@
             waits = task.state == TaskState::Waiting;
         }
         let queue = batch.order.queue.clone();
+        let origin = batch.origin;
         if crashes.are_many() {
-            self.crashes.careful.insert(queue, now + CAREFUL);
+            self.be_careful(now, queue, out);
         }
-        let origin = batch.origin;
         out.push(Output::Send(origin, WorkMsg::Crashed(task, crashes)));
         if waits {
             self.give_up(now, key, task.index, out);
         }
     }
 
+    /// A worker has fallen silent: what was started there last may have ended it. A step that seems to is given up. It may have
+    /// run, and its caller is told so.
+    pub(crate) fn suspect_runs(&mut self, now: Time, key: WorkerKey, out: &mut Vec<Output>) {
+        let runs = self.workers[key].runs.iter();
+        let batches: BTreeSet<_> = runs.filter_map(|run| self.runs[*run].batch).collect();
+        for batch in batches {
+            if self.is_suspect(batch) {
+                self.condemn_batch(now, batch, out);
+            }
+        }
+    }
+
+    /// Whether a step seems to end its workers: its first task was started with care and its worker is silent, or all of several
+    /// that have its tasks are.
+    fn is_suspect(&self, key: BatchKey) -> bool {
+        let Some(batch) = self.batches.get(key).filter(|batch| !batch.proved) else {
+            return false;
+        };
+        let runs = batch.tasks.values().filter_map(|task| match task.state {
+            TaskState::Running(run) => Some(&self.runs[run]),
+            TaskState::Waiting | TaskState::Limbo(_) => None,
+        });
+        let silent = |run: &Run| self.workers[run.worker].silent >= SILENT_LOOKS;
+        let (silent, others): (Vec<&Run>, Vec<&Run>) = runs.partition(|run| silent(run));
+        let workers: BTreeSet<_> = silent.iter().map(|run| run.worker).collect();
+        let probe = silent.iter().any(|run| run.probe);
+        probe || (others.is_empty() && workers.len() >= SEVERAL)
+    }
+
+    fn condemn_batch(&mut self, now: Time, key: BatchKey, out: &mut Vec<Output>) {
+        let batch = &self.batches[key];
+        let queue = batch.order.queue.clone();
+        let tasks: Vec<_> = batch.tasks.keys().map(|index| batch.id(*index)).collect();
+        self.be_careful(now, queue, out);
+        for task in tasks {
+            self.count_crash(now, task, out, Crashes::condemn);
+        }
+        self.give_up_batch(now, key, out);
+    }
+
+    fn be_careful(&mut self, now: Time, queue: String, out: &mut Vec<Output>) {
+        out.push(Output::Careful(queue.clone()));
+        self.crashes.careful.insert(queue, now + CAREFUL);
+    }
+
+    pub(crate) fn learn_careful(&mut self, now: Time, queues: Vec<String>) {
+        let queues = queues.into_iter().map(|queue| (queue, now + CAREFUL));
+        self.crashes.careful.extend(queues);
+    }
+
+    /// Gives up all tasks of a batch, and stops its runs.
+    fn give_up_batch(&mut self, now: Time, key: BatchKey, out: &mut Vec<Output>) {
+        self.unqueue(key);
+        let tasks = self.batches[key].tasks.iter();
+        let tasks: Vec<_> = tasks.map(|(index, task)| (*index, *task)).collect();
+        for (index, task) in tasks {
+            let id = self.batches[key].id(index);
+            let crashes = task.crashes;
+            out.push(Output::Note(Note::GivenUp { task: id, crashes }));
+            self.finish(now, key, index, TaskEnd::GivenUp);
+            if let TaskState::Running(run_key) = task.state
+                && let Some(run) = self.runs.get_mut(run_key)
+            {
+                run.batch = None;
+                self.stop_run(now, run_key, out);
+            }
+        }
+    }
+
     /// Gives up a task under which enough workers have ended, unless it has a run; whether it did.
     pub(crate) fn give_up(
         &mut self,
@@ -196,8 +286,17 @@
 
     /// A task of a batch is done, or goes on: the others may follow.
     pub(crate) fn prove_batch(&mut self, batch: Option<BatchKey>) {
-        if let Some(batch) = batch.and_then(|key| self.batches.get_mut(key)) {
+        let Some(key) = batch else {
+            return;
+        };
+        let careful = self
+            .batches
+            .get(key)
+            .is_some_and(|batch| self.is_careful(batch));
+        if let Some(batch) = self.batches.get_mut(key) {
             batch.proved = true;
+            let passes = careful && batch.order.pass;
+            self.passing.extend(passes.then_some(key));
         }
     }
 }
--- a/crates/celerywinch_pool/src/place.rs
+++ b/crates/celerywinch_pool/src/place.rs
@@ -15,6 +15,8 @@
 /// What a pace of one more costs in the choice, in shares of a worker left empty: a slow worker is
 /// taken when packing elsewhere would waste more than that.
 const PACE_COST: f64 = 2.0;
+/// Cost of each run that may end with the worker of a task that may end it.
+const PROBE_COST: f64 = 0.5;
 /// Cost of the worker that has just failed the task.
 const AVOID_COST: f64 = 50.0;
 
@@ -78,12 +80,29 @@
                 && !self.meets_suspect(task.crashes, worker)
         });
         let packs = !self.config.without.lacks(Mechanism::Packing);
-        let cost = |key: WorkerKey, worker: &Worker| cost(batch, task, key, worker, packs);
+        let careful = self.is_careful(batch);
+        let cost = |key: WorkerKey, worker: &Worker| {
+            let shared = PROBE_COST * self.shared_with_probes(worker, careful) as f64;
+            cost(batch, task, key, worker, packs) + shared
+        };
         fitting
             .min_by(|a, b| cost(a.0, a.1).total_cmp(&cost(b.0, b.1)))
             .map(|(key, _)| key)
     }
 
+    /// How many runs a task would meet on a worker that may be ended by one of them.
+    fn shared_with_probes(&self, worker: &Worker, careful: bool) -> usize {
+        let mut runs = worker.runs.iter().map(|run| &self.runs[*run]);
+        if careful {
+            return runs.len();
+        }
+        let unproved = |run: &&Run| {
+            let batch = run.batch.and_then(|key| self.batches.get(key));
+            run.probe && batch.is_none_or(|batch| !batch.proved)
+        };
+        runs.by_ref().filter(unproved).count()
+    }
+
     pub(crate) fn suits(&self, batch: &Batch, key: WorkerKey, worker: &Worker) -> bool {
         let order = &batch.order;
         let service = worker.note.service == order.service;
@@ -138,6 +157,7 @@
             expected: batch.expected.mul_f64(pace),
             phase: Phase::Starting,
             suspect: task.crashes.is_suspect(),
+            probe: self.is_careful(batch),
             adopted: false,
             stopping: false,
             stopped: false,
--- a/crates/celerywinch_pool/src/pool.rs
+++ b/crates/celerywinch_pool/src/pool.rs
@@ -63,6 +63,8 @@
     AnsweredLate(Duration),
     /// What other dispatchers know of workers that ended under tasks.
     Crashes(Vec<(TaskId, Crashes)>),
+    /// Queues whose steps another dispatcher starts with care.
+    Careful(Vec<String>),
     /// Whether any worker of a domain that is held can be reached: one that has nothing to do is
     /// asked, unless one has answered lately.
     Ask(Domain),
@@ -83,6 +85,8 @@
     UsedUp(Domain),
     /// Workers have ended under a task; other dispatchers are to know.
     Crashed(TaskId, Crashes),
+    /// Steps of this queue are started with care; other dispatchers are to know.
+    Careful(String),
     /// A decision for the logs.
     Note(Note),
 }
@@ -125,8 +129,8 @@
     pub(crate) asks: u64,
     /// Counts the inputs: what was sent during one of them was sent after all that was heard before.
     pub(crate) inputs: u64,
-    /// The batch of the current input, if what finds no room of it is to be given back.
-    pub(crate) passing: Option<BatchKey>,
+    /// Batches of which what finds no room in the current input is to be given back.
+    pub(crate) passing: Vec<BatchKey>,
 }
 
 impl Pool {
@@ -160,7 +164,7 @@
             asked: BTreeMap::new(),
             asks: 0,
             inputs: 0,
-            passing: None,
+            passing: Vec::new(),
         }
     }
 
@@ -288,12 +292,13 @@
             Input::Answered(key, answer) => self.answered(now, key, answer, out),
             Input::AnsweredLate(took) => self.answers.learn(took),
             Input::Crashes(told) => self.learn_crashes(now, told, out),
+            Input::Careful(queues) => self.learn_careful(now, queues),
             Input::Ask(domain) => self.ask(now, domain, out),
             Input::Tick => self.tick(now, out),
         }
         self.drop_empty();
         self.place(now, out);
-        if let Some(key) = self.passing.take() {
+        for key in std::mem::take(&mut self.passing) {
             self.pass_on(now, key, out);
         }
         self.tell(out);
@@ -305,7 +310,7 @@
         self.tend_takeover(now, out);
         self.tend_runs(now, out);
         self.shed(now, out);
-        self.tend_crashes(now);
+        self.tend_crashes(now, out);
         self.told.retain(|_, told| told.is_kept(now));
         self.left
             .retain(|_, left| now.since(left.heard) <= REMEMBER_LEFT);
--- a/crates/celerywinch_pool/src/results.rs
+++ b/crates/celerywinch_pool/src/results.rs
@@ -13,6 +13,8 @@
 
 /// Added to a run number that a worker calls old: past any that an earlier origin can have used.
 const RUN_LEAP: u64 = 1 << 20;
+/// A worker that missed so many calls in a row may be gone.
+pub(crate) const SILENT_LOOKS: u32 = 2;
 /// A worker that failed this share of its last tasks gets none for a while.
 const FAILING: f64 = 0.5;
 
@@ -236,10 +238,11 @@
             self.config.retry
         };
         worker.look_at = now + retry;
-        if worker.silent == 2 {
+        if worker.silent == SILENT_LOOKS {
             let looks = worker.silent;
             let worker = worker.note.id.clone();
             out.push(Output::Note(Note::WorkerSilent { worker, looks }));
+            self.suspect_runs(now, key, out);
         }
     }
 
--- a/crates/celerywinch_pool/src/run.rs
+++ b/crates/celerywinch_pool/src/run.rs
@@ -40,6 +40,8 @@
     pub(crate) phase: Phase,
     /// Workers have ended under its task before.
     pub(crate) suspect: bool,
+    /// The first of a step that is started with care.
+    pub(crate) probe: bool,
     /// Taken over at work: how long it took in all is not known.
     pub(crate) adopted: bool,
     /// A stop is on its way, or was taken.
--- a/crates/celerywinch_pool/src/submit.rs
+++ b/crates/celerywinch_pool/src/submit.rs
@@ -55,9 +55,7 @@
                 let name = (batch.order.job, batch.order.step);
                 let key = self.batches.insert(batch);
                 self.jobs.insert(name, key);
-                // One that is started with care has tasks that wait for the first, and not for room.
-                let careful = self.is_careful(&self.batches[key]);
-                self.passing = (pass && !careful).then_some(key);
+                self.passing.extend(pass.then_some(key));
                 key
             }
         };
@@ -124,6 +122,10 @@
         let waiting = tasks.filter(|(_, task)| task.state == TaskState::Waiting);
         let waiting: Vec<u16> = waiting.map(|(index, _)| *index).collect();
         let started = batch.tasks.len() - waiting.len();
+        if started > 0 && self.is_careful(batch) {
+            // The others wait for the first, and not for room.
+            return;
+        }
         self.inflow
             .add(now, batch.order.priority, batch.work_of(started));
         if !waiting.is_empty() {
@@ -181,7 +183,8 @@
             expected,
             tasks: BTreeMap::new(),
             begun: !order.fresh,
-            proved: false,
+            // What another dispatcher passed on after it had started a part of the step.
+            proved: order.pass && !order.fresh,
             order,
         }
     }
--- a/crates/celerywinch_pool/src/takeover.rs
+++ b/crates/celerywinch_pool/src/takeover.rs
@@ -186,6 +186,7 @@
             expected: batch.expected,
             phase: Phase::Running(self.inputs),
             suspect: batch.tasks[&index].crashes.is_suspect(),
+            probe: false,
             adopted: true,
             stopping: false,
             stopped: false,
--- a/crates/celerywinch_pool/tests/crashes.rs
+++ b/crates/celerywinch_pool/tests/crashes.rs
@@ -270,3 +270,74 @@
     assert_eq!(rig.count(is_start), 1);
     assert_eq!(rig.told.last(), Some(&(task(0), TaskEnd::GivenUp)));
 }
+
+/// No call to these workers gets an answer for so long; all others find their tasks at work.
+fn silence(rig: &mut Rig, silent: &BTreeSet<String>, ms: u64) {
+    for _ in 0..ms / 10 {
+        let looks = rig.calls.iter().filter(|call| is_look(&call.order));
+        let looks: Vec<_> = looks.cloned().collect();
+        for look in looks.iter().filter(|look| silent.contains(&look.worker)) {
+            rig.answer(look, Answer::Silent);
+        }
+        rig.wait(10);
+    }
+}
+
+fn started(rig: &Rig) -> BTreeSet<String> {
+    let starts = rig.calls.iter().filter(|call| is_start(&call.order));
+    starts.map(|call| call.worker.clone()).collect()
+}
+
+struct Suspect {
+    /// Whether steps of the queue are started with care.
+    careful: bool,
+    /// How many of the workers that have tasks of the step fall silent.
+    silent: usize,
+    given_up: bool,
+}
+
+/// Guards against callers that wait for room while one job after the other ends workers: that a worker may be gone counted only when
+/// its lease was over, and the job ended the next one meanwhile.
+#[rstest]
+#[case::first_task(Suspect { careful: true, silent: 1, given_up: true })]
+#[case::all_workers(Suspect { careful: false, silent: 4, given_up: true })]
+#[case::some_workers(Suspect { careful: false, silent: 2, given_up: false })]
+fn step_that_seems_to_end_its_workers_is_given_up_at_once(#[case] case: Suspect) {
+    let mut rig = rig(8);
+    if case.careful {
+        rig.take(Input::Careful(vec!["q".to_owned()]));
+    }
+    rig.submit(wide(500));
+    let workers = started(&rig);
+    assert_eq!(workers.len(), if case.careful { 1 } else { 4 });
+    let silent = workers.into_iter().take(case.silent).collect();
+    silence(&mut rig, &silent, 400);
+    let given_up = rig.told.iter().any(|(_, end)| *end == TaskEnd::GivenUp);
+    assert_eq!(given_up, case.given_up, "{:?}", rig.told);
+    if given_up {
+        let starts = rig.count(is_start);
+        rig.submit(wide(500));
+        assert_eq!(rig.count(is_start), starts, "not started again");
+        rig.submit(wide(501));
+        assert_eq!(rig.count(is_start), starts + 1, "the next one with care");
+    }
+}
+
+/// Guards against steps that wait for the end of a look before their other tasks follow the first.
+#[test]
+fn first_task_is_looked_at_once_it_has_been_at_work_for_a_moment() {
+    let mut rig = rig(8);
+    rig.take(Input::Careful(vec!["q".to_owned()]));
+    rig.submit(wide(500));
+    let start = rig.last(is_start);
+    rig.answer(&start, Answer::Taken(clock()));
+    let looks = |rig: &Rig| {
+        let here = rig.calls.iter().filter(|call| call.worker == start.worker);
+        here.filter(|call| is_look(&call.order)).count()
+    };
+    let before = looks(&rig);
+    rig.wait(40);
+    assert_eq!(looks(&rig), before);
+    rig.wait(20);
+    assert_eq!(looks(&rig), before + 1);
+}
--- a/crates/celerywinch_pool/tests/rig/mod.rs
+++ b/crates/celerywinch_pool/tests/rig/mod.rs
@@ -129,7 +129,11 @@
                         .extend(news.iter().map(|news| (news.task, news.end)));
                 }
                 Output::Outbid(_) => self.outbid += 1,
-                Output::Send(..) | Output::UsedUp(_) | Output::Crashed(..) | Output::Note(_) => {}
+                Output::Send(..)
+                | Output::UsedUp(_)
+                | Output::Crashed(..)
+                | Output::Careful(_)
+                | Output::Note(_) => {}
             }
         }
     }
--- a/crates/celerywinch_types/src/crashes.rs
+++ b/crates/celerywinch_types/src/crashes.rs
@@ -48,6 +48,11 @@
         self.seen = self.seen.saturating_add(1);
     }
 
+    /// A worker fell silent as it started this task alone, or all workers that started its step did.
+    pub fn condemn(&mut self) {
+        self.seen = self.seen.max(MOST_SEEN);
+    }
+
     /// One more has ended for certain; `seen` if it was counted as silent before.
     pub fn prove(&mut self, seen: bool) {
         self.proven = self.proven.saturating_add(1);
--- a/crates/celerywinch_types/src/fleet.rs
+++ b/crates/celerywinch_types/src/fleet.rs
@@ -427,4 +427,6 @@
     Learned(Learned),
     /// Workers that ended under tasks, as a dispatcher knows by now.
     Crashes(Vec<(TaskId, Crashes)>),
+    /// Queues whose steps are to be started with care.
+    Careful(Vec<String>),
 }
