Read the registry without a write, share entries of resent requests, and hold no election after a slow write

Cause, by a group of three keepers in virtual time whose threads stand still while their disks write: (1) an order takes two entries, a read and the order, within 850 ms, and each try begins anew; (2) above all, a keeper that has waited for its own disk takes that for silence: followers stand for election and a leader steps down after each write of 400 ms and more.

Change: reads wait for a majority to confirm the leader (Raft's ReadIndex) and write nothing; a request that is the same as one whose entry is not committed yet shares that entry; time in which a keeper stood still counts for nobody's silence. That a delayed order never undoes a later one rests on the revision as before: a shared entry is committed after both requests have arrived.

Not reached: writes of 900 ms and more. The answer to a try comes after its time, the next try needs a commit of its own, and as the keeper's thread stands still while it writes, no read is served meanwhile; a thread of its own for the disk would be next.

--- a/crates/celerywinch_fleet/src/store.rs
+++ b/crates/celerywinch_fleet/src/store.rs
@@ -291,7 +291,7 @@
                 self.tell(StoreOut::Role(figures));
             }
             // Dealt with by the registry's state machine.
-            Output::Apply(_) | Output::Restore(_) | Output::Compact(_) => {}
+            Output::Apply(_) | Output::Restore(_) | Output::Compact(_) | Output::Readable(_) => {}
         }
         Ok(None)
     }
--- a/crates/celerywinch_node/src/store.rs
+++ b/crates/celerywinch_node/src/store.rs
@@ -334,7 +334,7 @@
                 self.offer_first(now);
             }
             // Dealt with by the keeper's state machine.
-            Output::Apply(_) | Output::Restore(_) | Output::Compact(_) => {}
+            Output::Apply(_) | Output::Restore(_) | Output::Compact(_) | Output::Readable(_) => {}
         }
         Ok(None)
     }
--- a/crates/celerywinch_registry/src/registry.rs
+++ b/crates/celerywinch_registry/src/registry.rs
@@ -89,7 +89,11 @@
     raft: Raft,
     held: Held,
     evacuations: Evacuations,
-    pending: BTreeMap<u64, Pending>,
+    /// Requests by the entry that they wait for.
+    pending: BTreeMap<u64, Vec<Pending>>,
+    /// Reads that wait for the log, by their numbers there.
+    reads: BTreeMap<u64, Pending>,
+    next_read: u64,
     /// The index of the last entry that was proposed here.
     proposed: u64,
 }
@@ -110,6 +114,8 @@
             held,
             evacuations,
             pending: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            next_read: 0,
             proposed,
         })
     }
@@ -167,6 +173,12 @@
                 let state = state.expect("plain data encodes");
                 inputs.push(Input::State { index, state });
             }
+            Output::Readable(read) => {
+                if let Some(pending) = self.reads.remove(&read) {
+                    let state = Some(self.state(pending.read));
+                    out.push(RegistryOutput::Answer(pending.from, pending.id, state));
+                }
+            }
             Output::Role(role) => {
                 if role != Role::Leader {
                     self.lose_pending(out);
@@ -200,7 +212,12 @@
             read: request.request == KeeperRequest::ReadDocument,
         };
         let command = match request.request {
-            KeeperRequest::ReadDocument | KeeperRequest::ReadEvacuations => Command::Read,
+            KeeperRequest::ReadDocument | KeeperRequest::ReadEvacuations => {
+                self.next_read += 1;
+                self.reads.insert(self.next_read, pending);
+                self.handle(now, Input::Read(self.next_read), out);
+                return;
+            }
             KeeperRequest::PutDocument(version, document) => {
                 Command::PutDocument(version, document)
             }
@@ -208,8 +225,15 @@
         };
         let command = bincode::serde::encode_to_vec(&command, standard());
         let command = command.expect("plain data encodes");
-        self.handle(now, Input::Propose(command), out);
-        self.pending.insert(self.proposed, pending);
+        // A request that is sent again, as its commit takes longer than its caller waits, shares the entry of the first one: each
+        // with an entry of its own would wait as long again, and none might ever be answered.
+        let mut open = self.pending.keys().rev().copied();
+        let same = open.find(|index| self.raft.open_command(*index) == Some(&command));
+        let index = same.unwrap_or_else(|| {
+            self.handle(now, Input::Propose(command), out);
+            self.proposed
+        });
+        self.pending.entry(index).or_default().push(pending);
     }
 
     fn apply(&mut self, entry: Entry, out: &mut Vec<RegistryOutput>) {
@@ -222,7 +246,7 @@
             Ok((Command::Read, _)) => {}
             Err(error) => log::error!("registry: Entry {} is no command: {error}.", entry.index),
         }
-        if let Some(pending) = self.pending.remove(&entry.index) {
+        for pending in self.pending.remove(&entry.index).unwrap_or_default() {
             let state = (pending.term == entry.term).then(|| self.state(pending.read));
             out.push(RegistryOutput::Answer(pending.from, pending.id, state));
         }
@@ -289,7 +313,9 @@
     }
 
     fn lose_pending(&mut self, out: &mut Vec<RegistryOutput>) {
-        for (_, pending) in std::mem::take(&mut self.pending) {
+        let pending = std::mem::take(&mut self.pending).into_values().flatten();
+        let reads = std::mem::take(&mut self.reads).into_values();
+        for pending in pending.chain(reads) {
             out.push(RegistryOutput::Answer(pending.from, pending.id, None));
         }
     }
--- /dev/null
+++ b/crates/celerywinch_registry/tests/slow_disks.rs
@@ -0,0 +1,234 @@
+//! Three keepers whose disks are slow, and an operator whose requests end before a commit does.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use celerywinch_registry::{Registry, RegistryOutput, Request};
+use celerywinch_store::{Input, KeeperId, Loaded, Output, RaftConfig};
+use celerywinch_types::{
+    DataCentreId, EvacuationOrder, InstanceId, KeeperRequest, KeeperState, Time,
+};
+use rstest::rstest;
+
+const KEEPERS: u32 = 3;
+const TICK: Duration = Duration::from_millis(25);
+/// One way between two keepers.
+const WAY: Duration = Duration::from_millis(1);
+/// How long an operator's request is waited for, and the pause before it is sent to the next keeper.
+const PATIENCE: Duration = Duration::from_millis(850);
+const PAUSE: Duration = Duration::from_millis(300);
+
+enum Event {
+    Tick,
+    Log(Vec<u8>),
+    Persisted(u64),
+    Request(Request),
+}
+
+/// Keepers with a thread each, which stands still while the disk writes.
+struct Group {
+    now: Time,
+    sync: Duration,
+    keepers: Vec<Registry>,
+    busy: Vec<Time>,
+    events: BTreeMap<(Time, u64), (usize, Event)>,
+    count: u64,
+    answers: BTreeMap<u64, Option<KeeperState>>,
+    next: u64,
+}
+
+impl Group {
+    fn new(sync: Duration) -> Self {
+        let now = Time(10_000_000);
+        let keeper = |instance: u32| {
+            let config = RaftConfig {
+                me: KeeperId {
+                    instance: InstanceId(instance),
+                    disk: u64::from(instance) * 10,
+                },
+                instances: (1..=KEEPERS).map(InstanceId).collect(),
+                forms: true,
+                voters: 3,
+                heartbeat: Duration::from_millis(100),
+                election: Duration::from_millis(400),
+                compact_after: 16,
+                seed: instance.into(),
+            };
+            Registry::new(config, now, Loaded::default()).expect("an empty disk")
+        };
+        let mut group = Self {
+            now,
+            sync,
+            keepers: (1..=KEEPERS).map(keeper).collect(),
+            busy: vec![now; KEEPERS as usize],
+            events: BTreeMap::new(),
+            count: 0,
+            answers: BTreeMap::new(),
+            next: 0,
+        };
+        for keeper in 0..KEEPERS as usize {
+            group.at(now, keeper, Event::Tick);
+        }
+        group
+    }
+
+    fn at(&mut self, due: Time, keeper: usize, event: Event) {
+        self.count += 1;
+        self.events.insert((due, self.count), (keeper, event));
+    }
+
+    /// Runs until a moment, or until a request is answered.
+    fn run(&mut self, until: Time, request: Option<u64>) {
+        while let Some(((due, _), _)) = self.events.first_key_value() {
+            let answered = request.is_some_and(|id| self.answers.contains_key(&id));
+            if *due > until || answered {
+                break;
+            }
+            let ((due, _), (keeper, event)) = self.events.pop_first().expect("an event");
+            self.now = due;
+            if self.busy[keeper] > due {
+                self.at(self.busy[keeper], keeper, event);
+            } else {
+                self.take(keeper, event);
+            }
+        }
+        if request.is_none_or(|id| !self.answers.contains_key(&id)) {
+            self.now = self.now.max(until);
+        }
+    }
+
+    fn take(&mut self, keeper: usize, event: Event) {
+        let now = self.now;
+        let registry = &mut self.keepers[keeper];
+        let mut out = Vec::new();
+        match event {
+            Event::Tick => {
+                registry.handle(now, Input::Tick, &mut out);
+                self.at(now + TICK, keeper, Event::Tick);
+            }
+            Event::Log(bytes) => registry.unwrap(now, &bytes, &mut out).expect("a message"),
+            Event::Persisted(index) => registry.handle(now, Input::Persisted(index), &mut out),
+            Event::Request(request) => registry.request(now, request, &mut out),
+        }
+        let mut at = now;
+        let mut synced = None;
+        for output in out {
+            match output {
+                RegistryOutput::Log(Output::Persist(entries)) => {
+                    at = at + self.sync;
+                    synced = entries.last().map(|entry| entry.index).or(synced);
+                }
+                RegistryOutput::Log(Output::PersistVote { .. } | Output::PersistSnapshot(_)) => {
+                    at = at + self.sync;
+                }
+                RegistryOutput::Log(Output::Send(to, disk, msg)) => {
+                    let bytes = self.keepers[keeper].wrap(to, disk, msg);
+                    let bytes = bytes.expect("a message");
+                    self.at(at + WAY, to.0 as usize - 1, Event::Log(bytes));
+                }
+                RegistryOutput::Forward(to, request) => {
+                    self.at(at + WAY, to.0 as usize - 1, Event::Request(request));
+                }
+                RegistryOutput::Answer(_, id, state) => {
+                    self.answers.insert(id, state);
+                }
+                RegistryOutput::Log(_)
+                | RegistryOutput::Committed(_)
+                | RegistryOutput::EvacuationsChanged(_) => {}
+            }
+        }
+        self.busy[keeper] = at;
+        if let Some(index) = synced {
+            self.at(at, keeper, Event::Persisted(index));
+        }
+    }
+
+    /// Sends a request to a keeper, and waits for the answer until a moment.
+    fn ask(&mut self, keeper: usize, until: Time, request: KeeperRequest) -> Option<KeeperState> {
+        self.next += 1;
+        let request = Request {
+            from: InstanceId(keeper as u32 + 1),
+            id: self.next,
+            request,
+        };
+        self.at(self.now, keeper, Event::Request(request));
+        self.run(until, Some(self.next));
+        self.answers.get(&self.next).cloned().flatten()
+    }
+
+    /// An order to evacuate as an operator sends it: again, to the next keeper, until it is acknowledged or `most` has passed.
+    fn evacuate(&mut self, dc: u8, evacuated: bool, most: Duration) -> Option<u64> {
+        let dc = DataCentreId(dc);
+        let start = self.now;
+        let mut keeper = 0;
+        while self.now.since(start) < most {
+            let until = self.now + PATIENCE;
+            if let Some(state) = self.ask(keeper, until, KeeperRequest::ReadEvacuations) {
+                let base = state.evacuations.revision;
+                let order = KeeperRequest::Evacuate(EvacuationOrder {
+                    dc,
+                    evacuated,
+                    base,
+                });
+                let state = self.ask(keeper, until, order);
+                let state = state.map(|state| state.evacuations);
+                if let Some(state) = state.filter(|state| state.dcs.contains(&dc) == evacuated) {
+                    return Some(state.revision);
+                }
+            }
+            self.run(until.max(self.now) + PAUSE, None);
+            keeper = (keeper + 1) % KEEPERS as usize;
+        }
+        None
+    }
+}
+
+/// Guards against evacuations that are never acknowledged while the machines are busy: an order took two commits within 850 ms, began
+/// anew with each try, and each write was followed by an election.
+#[rstest]
+#[case::fast(9)]
+#[case::slower_than_half_a_try(450)]
+#[case::slower_than_an_election(600)]
+#[case::nearly_as_slow_as_a_try(800)]
+fn orders_are_acknowledged_with_slow_disks(#[case] sync: u64) {
+    let mut group = Group::new(Duration::from_millis(sync));
+    group.run(group.now + Duration::from_secs(20), None);
+    let most = Duration::from_secs(12);
+    let first = group.evacuate(1, true, most);
+    let second = group.evacuate(2, true, most);
+    let third = group.evacuate(1, false, most);
+    assert!(
+        first.is_some() && second > first && third > second,
+        "{first:?} {second:?} {third:?}"
+    );
+}
+
+/// Guards against a delayed order that undoes a later one: it was sent to a keeper that stood still, and given up.
+#[rstest]
+#[case(9)]
+#[case(800)]
+fn delayed_order_is_void_with_slow_disks(#[case] sync: u64) {
+    let mut group = Group::new(Duration::from_millis(sync));
+    group.run(group.now + Duration::from_secs(20), None);
+    let most = Duration::from_secs(12);
+    let base = group.evacuate(1, true, most).expect("an acknowledgement");
+    let late = EvacuationOrder {
+        dc: DataCentreId(1),
+        evacuated: false,
+        base,
+    };
+    group.next += 1;
+    let request = Request {
+        from: InstanceId(1),
+        id: group.next,
+        request: KeeperRequest::Evacuate(late),
+    };
+    let due = group.now + Duration::from_secs(15);
+    group.at(due, 0, Event::Request(request));
+    assert!(group.evacuate(1, true, most) > Some(base));
+    group.run(due + Duration::from_secs(10), None);
+    let until = group.now + Duration::from_secs(10);
+    let state = group.ask(1, until, KeeperRequest::ReadEvacuations);
+    let dcs = state.expect("an answer").evacuations.dcs;
+    assert!(dcs.contains(&DataCentreId(1)));
+}
--- a/crates/celerywinch_store/src/message.rs
+++ b/crates/celerywinch_store/src/message.rs
@@ -73,6 +73,20 @@
         },
         /// The sender has a log and hears no leader; it may have been replaced while it was away.
         Rejoin,
+        /// Asks whether the receiver follows the sender, which leads.
+        Confirm {
+            /// The leader's term.
+            term: u64,
+            /// Counts the leader's questions.
+            round: u64,
+        },
+        /// Answers `Confirm`: the receiver follows the sender in that term.
+        ConfirmReply {
+            /// The term.
+            term: u64,
+            /// The round asked about.
+            round: u64,
+        },
     }
 
     /// A message with its sender and receiver.
--- a/crates/celerywinch_store/src/raft/append.rs
+++ b/crates/celerywinch_store/src/raft/append.rs
@@ -44,6 +44,7 @@
         }
         if now.since(self.sent) >= self.config.heartbeat {
             self.send_all(now, out);
+            self.ask_to_confirm(out);
         }
         self.tend_group(now, out);
     }
@@ -133,7 +134,13 @@
     }
 
     /// Follows the leader of a term that is not over; false for a leader of the past.
-    fn follow(&mut self, now: Time, from: KeeperId, term: u64, out: &mut Vec<Output>) -> bool {
+    pub(super) fn follow(
+        &mut self,
+        now: Time,
+        from: KeeperId,
+        term: u64,
+        out: &mut Vec<Output>,
+    ) -> bool {
         if term < self.term {
             let reply = RaftMsg::AppendReply {
                 term: self.term,
--- a/crates/celerywinch_store/src/raft/election.rs
+++ b/crates/celerywinch_store/src/raft/election.rs
@@ -30,7 +30,7 @@
         self.count_pre_votes(now, out);
     }
 
-    fn ask_voters(&self, msg: &RaftMsg, out: &mut Vec<Output>) {
+    pub(super) fn ask_voters(&self, msg: &RaftMsg, out: &mut Vec<Output>) {
         let me = self.config.me;
         for voter in self.log.group().voters.iter().filter(|v| **v != me) {
             self.send(*voter, msg.clone(), out);
--- a/crates/celerywinch_store/src/raft/mod.rs
+++ b/crates/celerywinch_store/src/raft/mod.rs
@@ -3,6 +3,7 @@
 mod append;
 mod election;
 mod group;
+mod read;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -43,6 +44,9 @@
     Message(KeeperId, RaftMsg),
     /// A command to be agreed on; only a leader takes it.
     Propose(Vec<u8>),
+    /// A read of the state machine that must not be stale, by a number of the host's; only a leader takes it. Answered by
+    /// [`Output::Readable`], unless the keeper ceases to lead.
+    Read(u64),
     /// What the last [`Output::Persist`]s hold has been synced, up to this index.
     Persisted(u64),
     /// The state machine's state after the entry `index`, asked for by [`Output::Compact`].
@@ -80,6 +84,8 @@
     Restore(Snapshot),
     /// Hand over the state machine's state by [`Input::State`].
     Compact(u64),
+    /// The state machine has all that was committed when this read began.
+    Readable(u64),
     /// The role changed.
     Role(Role),
 }
@@ -121,6 +127,8 @@
     commit: u64,
     applied: u64,
     role: Role,
+    /// The last input.
+    lived: Time,
     /// When the leader was last heard, or the role last changed.
     heard: Time,
     timeout: Duration,
@@ -134,6 +142,7 @@
     /// Where a group is looked for, beside the instances of the settings.
     contacts: Vec<InstanceId>,
     compacting: bool,
+    reads: read::Reads,
     random: ChaCha8Rng,
 }
 
@@ -166,6 +175,7 @@
             } else {
                 Role::Follower(None)
             },
+            lived: now,
             heard: now,
             timeout,
             sent: Time::default(),
@@ -175,6 +185,7 @@
             returning: BTreeMap::new(),
             contacts: Vec::new(),
             compacting: false,
+            reads: read::Reads::default(),
             log,
             random,
             config,
@@ -183,15 +194,31 @@
 
     /// Takes an input and appends what the host is to do.
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
+        self.notice_pause(now);
         match input {
             Input::Message(from, msg) => self.message(now, from, msg, out),
             Input::Propose(command) => self.propose(now, Payload::Command(command), out),
+            Input::Read(id) => self.read(id, out),
             Input::Persisted(index) => self.persisted(now, index, out),
             Input::State { index, state } => self.compact(index, state, out),
             Input::Tick => self.tick(now, out),
         }
     }
 
+    /// While this keeper waited for its disk it heard nobody, and that is nobody's silence. With slow disks each write would
+    /// else be followed by an election, and nothing be committed any more.
+    fn notice_pause(&mut self, now: Time) {
+        let pause = now.since(self.lived);
+        self.lived = now;
+        if pause <= self.config.heartbeat {
+            return;
+        }
+        self.heard = self.heard + pause;
+        for progress in self.progress.values_mut() {
+            progress.heard = progress.heard + pause;
+        }
+    }
+
     /// Other instances at which a group is looked for; they may change at any time.
     pub fn set_contacts(&mut self, contacts: Vec<InstanceId>) {
         self.contacts = contacts;
@@ -215,6 +242,17 @@
         self.commit
     }
 
+    /// The command of an entry of this term that is not committed, where this keeper leads.
+    #[must_use]
+    pub fn open_command(&self, index: u64) -> Option<&[u8]> {
+        let entry = self.log.get(index)?;
+        let open = self.role == Role::Leader && index > self.commit && entry.term == self.term;
+        match &entry.payload {
+            Payload::Command(command) if open => Some(command),
+            _ => None,
+        }
+    }
+
     /// The keepers, by the last entry that names them.
     #[must_use]
     pub fn group(&self) -> Group {
@@ -250,6 +288,10 @@
                 self.append_reply(now, from, (term, index, taken), out);
             }
             RaftMsg::Install { term, snapshot } => self.install(now, from, term, snapshot, out),
+            RaftMsg::Confirm { term, round } => self.confirm(now, from, term, round, out),
+            RaftMsg::ConfirmReply { term, round } => {
+                self.confirm_reply(now, from, term, round, out);
+            }
             RaftMsg::Rejoin => {
                 self.returning.insert(from, now);
             }
@@ -292,6 +334,7 @@
         self.role = role;
         self.heard = now;
         self.votes.clear();
+        self.reads = read::Reads::default();
         let factor = self.random.random_range(1.0..2.0);
         self.timeout = self.config.election.mul_f64(factor);
         out.push(Output::Role(role));
@@ -315,6 +358,7 @@
             self.applied += 1;
             out.push(Output::Apply(entry));
         }
+        self.release_reads(out);
         if self.log.len() > self.config.compact_after && !self.compacting {
             self.compacting = true;
             out.push(Output::Compact(self.applied));
--- /dev/null
+++ b/crates/celerywinch_store/tests/reads.rs
@@ -0,0 +1,139 @@
+//! Reads that must not be stale.
+
+use std::time::Duration;
+
+use celerywinch_store::{
+    Entry, Group, Input, KeeperId, Output, Payload, Raft, RaftConfig, RaftMsg, Role, Snapshot,
+};
+use celerywinch_types::{InstanceId, Time};
+use rstest::rstest;
+
+fn keeper(instance: u32) -> KeeperId {
+    KeeperId {
+        instance: InstanceId(instance),
+        disk: u64::from(instance) * 10,
+    }
+}
+
+/// Keeper 1, which has won the election of term 2; its first entry there is the second of the log.
+fn leader(now: Time) -> Raft {
+    let config = RaftConfig {
+        me: keeper(1),
+        instances: (1..=3).map(InstanceId).collect(),
+        forms: true,
+        voters: 3,
+        heartbeat: Duration::from_millis(100),
+        election: Duration::from_millis(400),
+        compact_after: 128,
+        seed: 1,
+    };
+    let group = Group {
+        voters: (1..=3).map(keeper).collect(),
+        learners: Vec::new(),
+    };
+    let formed = Entry {
+        index: 1,
+        term: 1,
+        payload: Payload::Group(group),
+    };
+    let mut raft = Raft::new(config, now, (1, None), Snapshot::default(), vec![formed]);
+    let later = now + Duration::from_secs(1);
+    let granted = true;
+    handle(&mut raft, later, Input::Tick);
+    handle(&mut raft, later, Input::Tick);
+    let later = later + Duration::from_secs(1);
+    handle(&mut raft, later, Input::Tick);
+    for step in 0..20 {
+        let now = later + Duration::from_millis(50 * step);
+        handle(&mut raft, now, Input::Tick);
+    }
+    from(&mut raft, 2, RaftMsg::PreVoteReply { term: 2, granted });
+    from(&mut raft, 2, RaftMsg::VoteReply { term: 2, granted });
+    assert_eq!((raft.role(), raft.term()), (Role::Leader, 2));
+    raft
+}
+
+const NOW: Time = Time(20_000_000);
+
+fn handle(raft: &mut Raft, now: Time, input: Input) -> Vec<Output> {
+    let mut out = Vec::new();
+    raft.handle(now, input, &mut out);
+    out
+}
+
+/// A message of another keeper; the reads that are released by it.
+fn from(raft: &mut Raft, instance: u32, msg: RaftMsg) -> Vec<u64> {
+    let out = handle(raft, NOW, Input::Message(keeper(instance), msg));
+    let readable = out.iter().filter_map(|output| match output {
+        Output::Readable(id) => Some(*id),
+        _ => None,
+    });
+    readable.collect()
+}
+
+fn commit_first_entry(raft: &mut Raft) {
+    handle(raft, NOW, Input::Persisted(2));
+    let taken = RaftMsg::AppendReply {
+        term: 2,
+        index: 2,
+        taken: true,
+    };
+    from(raft, 2, taken);
+    assert_eq!(raft.commit(), 2);
+}
+
+struct Case {
+    /// Whether an entry of the leader's term is committed before the read.
+    committed: bool,
+    /// The answer of keeper 2: its term, and the round that it confirms.
+    answer: (u64, u64),
+    released: bool,
+}
+
+/// Guards against stale reads: a leader that was deposed without knowing it answers before a majority has confirmed it, or
+/// before it knows how far the log is.
+#[rstest]
+#[case::confirmed(Case { committed: true, answer: (2, 1), released: true })]
+#[case::an_earlier_round(Case { committed: true, answer: (2, 0), released: false })]
+#[case::an_earlier_term(Case { committed: true, answer: (1, 1), released: false })]
+#[case::nothing_of_its_term(Case { committed: false, answer: (2, 1), released: false })]
+fn read_waits_for_a_majority(#[case] case: Case) {
+    let mut raft = leader(Time(10_000_000));
+    if case.committed {
+        commit_first_entry(&mut raft);
+    }
+    let out = handle(&mut raft, NOW, Input::Read(7));
+    let asks = out.iter().filter(|output| {
+        let Output::Send(_, _, msg) = output else {
+            return false;
+        };
+        *msg == RaftMsg::Confirm { term: 2, round: 1 }
+    });
+    assert_eq!(asks.count(), 2);
+    assert!(!out.contains(&Output::Readable(7)));
+    let (term, round) = case.answer;
+    let released = from(&mut raft, 2, RaftMsg::ConfirmReply { term, round });
+    assert_eq!(released, if case.released { vec![7] } else { Vec::new() });
+    if !case.committed {
+        handle(&mut raft, NOW, Input::Persisted(2));
+        let taken = RaftMsg::AppendReply {
+            term: 2,
+            index: 2,
+            taken: true,
+        };
+        assert_eq!(from(&mut raft, 2, taken), [7], "once that is committed");
+    }
+}
+
+/// Guards against a stale read after a change of leaders: a later term is heard of before the confirmation.
+#[test]
+fn read_of_a_deposed_leader_is_not_released() {
+    let mut raft = leader(Time(10_000_000));
+    commit_first_entry(&mut raft);
+    handle(&mut raft, NOW, Input::Read(7));
+    let later = RaftMsg::Confirm { term: 3, round: 1 };
+    assert_eq!(from(&mut raft, 3, later), Vec::<u64>::new());
+    assert_eq!(raft.role(), Role::Follower(Some(keeper(3))));
+    let late = RaftMsg::ConfirmReply { term: 2, round: 1 };
+    assert_eq!(from(&mut raft, 2, late), Vec::<u64>::new());
+}
