A task in doubt is not settled by the end of a run that is being stopped

task_in_doubt_waits_beyond_the_end_of_a_run_that_is_being_stopped failed before (2 starts where 1 is allowed); all tests of the pool pass.

--- a/crates/celerywinch_pool/src/submit.rs
+++ b/crates/celerywinch_pool/src/submit.rs
@@ -227,15 +227,13 @@
             avoid: None,
         };
         self.batches[key].tasks.insert(order.index, task);
-        if self.take_stopping_run(key, order.index) {
-            return;
-        }
+        // What may run elsewhere waits for the end of the longest lease, and so for that of any run here.
         if order.doubt != Doubt::None {
             self.settle(now, key, order.index);
         } else if self.may_be_elsewhere(now, key, id) {
             let until = now + self.config.limbo;
             self.set_task(key, order.index, TaskState::Limbo(until));
-        } else {
+        } else if !self.take_stopping_run(key, order.index) {
             self.give_up(now, key, order.index, out);
         }
     }
--- a/crates/celerywinch_pool/tests/grants.rs
+++ b/crates/celerywinch_pool/tests/grants.rs
@@ -358,3 +358,25 @@
     remote.rig.take(Input::Work(origin, WorkMsg::Submit(again)));
     assert_eq!(remote.starts(), case.starts);
 }
+
+/// Guards against two runs of one task at once: a task that may run under a lost dispatcher is handed in where an earlier run of it is
+/// being stopped, and the end of that run says nothing of the other one.
+#[test]
+fn task_in_doubt_waits_beyond_the_end_of_a_run_that_is_being_stopped() {
+    let mut rig = Rig::new(Vec::new(), Vec::new());
+    rig.submit(step(Doubt::None, 0));
+    let start = rig.last(is_start);
+    rig.answer(&start, Answer::Taken(clock()));
+    let cancel = WorkMsg::Cancel {
+        job: rig::JOB,
+        last: 1,
+    };
+    rig.take(Input::Work(ORIGIN, cancel));
+    let stop = rig.last(is_stop);
+    rig.submit(step(Doubt::Open, 0));
+    rig.answer(&stop, Answer::Taken(clock()));
+    let look = rig.last(is_look);
+    rig.answer(&look, lists(Vec::new(), vec![ended(1, How::Cut)]));
+    rig.wait(100);
+    assert_eq!(rig.count(is_start), 1, "it may run elsewhere");
+}
