Let a keeper answer while its disk writes

Cause: the keeper's thread carried out the log's outputs strictly in order, and stood still while its disk wrote. It answered no heartbeat, no read and no vote meanwhile.

Evidence: three keepers in virtual time whose threads stand still (slow_disks.rs of the registry, on the code before): with writes of 900 ms and of 2 s no read is answered, and no order is acknowledged in 12 s.

The disk has a thread of its own. Writes go there one after the other, those that arrive meanwhile share a sync, and the host reports how many are done (`Input::Written`). The log's state machine decides what rests on a write, as etcd's raft does with asynchronous storage writes: a vote is told, and entries are acknowledged, only once they are synced; a heartbeat is answered at once, with what is synced. What is cut off the log while it is being written counts no more, and what is acknowledged in a term is only what its leader has shown to be its own log.

A vote that is being written holds back the next election, a candidate gives the voters as long as its own writes take, and whoever said that an election would be of use waits for it.

--- a/crates/celerywinch_bench/src/soak/store.rs
+++ b/crates/celerywinch_bench/src/soak/store.rs
@@ -7,7 +7,7 @@
 
 use celerywinch_catalogue::{Applied, ApplyError, Document, Edit, TeamEntry};
 use celerywinch_keeper::{Keeper, KeeperOutput, ProposalId, Proposer, ProposerOutput, StoreMsg};
-use celerywinch_store::{Entry, Input, KeeperId, Loaded, Output, RaftConfig, Snapshot};
+use celerywinch_store::{Entry, Input, KeeperId, Loaded, Output, RaftConfig, RaftMsg, Snapshot};
 use celerywinch_types::{InstanceId, Time};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -221,21 +221,21 @@
         } else {
             usize::MAX
         };
-        let mut synced = None;
+        let mut writes = 0;
         for (done, output) in out.into_iter().enumerate() {
             if done >= survives {
                 self.crash(index);
                 return;
             }
-            synced = self.keeper_output(index, output).or(synced);
+            writes += usize::from(self.keeper_output(index, output));
         }
-        if let Some(last) = synced {
-            self.input(index, Input::Persisted(last));
+        if writes > 0 {
+            self.input(index, Input::Written(writes));
         }
     }
 
-    /// Carries out one output; the index that is synced by it, if any.
-    fn keeper_output(&mut self, index: usize, output: KeeperOutput) -> Option<u64> {
+    /// Carries out one output; whether it was a write to the disk.
+    fn keeper_output(&mut self, index: usize, output: KeeperOutput) -> bool {
         let disk = &mut self.nodes[index].disk;
         match output {
             KeeperOutput::Log(Output::PersistVote { term, vote }) => disk.vote = (term, vote),
@@ -244,7 +244,6 @@
             }
             KeeperOutput::Log(Output::Persist(entries)) => {
                 disk.entries.extend(entries);
-                return disk.entries.last().map(|entry| entry.index);
             }
             KeeperOutput::Log(Output::PersistSnapshot(snapshot)) => {
                 let keep = |entry: &Entry| entry.index > snapshot.index;
@@ -252,21 +251,32 @@
                 disk.snapshot = snapshot;
             }
             KeeperOutput::Log(Output::Send(to, to_disk, msg)) => {
-                let keeper = self.nodes[index].keeper.as_ref()?;
-                match keeper.wrap(to, to_disk, msg) {
-                    Ok(msg) => self.send(index, to, msg),
-                    Err(error) => self.report.violations.push(format!("{error:#}")),
-                }
+                self.send_log(index, to, to_disk, msg);
+                return false;
             }
-            KeeperOutput::Log(_) => {}
+            KeeperOutput::Log(_) => return false,
             KeeperOutput::Answer(to, id, answer) => {
                 self.send(index, to, StoreMsg::Answered { id, answer });
+                return false;
             }
             KeeperOutput::Committed {
                 version, document, ..
-            } => self.committed(index, version, document),
+            } => {
+                self.committed(index, version, document);
+                return false;
+            }
+        }
+        true
+    }
+
+    fn send_log(&mut self, index: usize, to: InstanceId, disk: Option<u64>, msg: RaftMsg) {
+        let Some(keeper) = &self.nodes[index].keeper else {
+            return;
+        };
+        match keeper.wrap(to, disk, msg) {
+            Ok(msg) => self.send(index, to, msg),
+            Err(error) => self.report.violations.push(format!("{error:#}")),
         }
-        None
     }
 
     fn committed(&mut self, index: usize, version: u64, document: Document) {
--- a/crates/celerywinch_fleet/src/core.rs
+++ b/crates/celerywinch_fleet/src/core.rs
@@ -8,7 +8,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
-use std::sync::mpsc::Sender;
 use std::time::Duration;
 
 use anyhow::Context;
@@ -20,6 +19,7 @@
     EvacuationOrder, Evacuations, FleetMsg, Incarnation, InstanceId, JobEnd, KeeperRequest,
     KeeperState, Part, Process, Said, Time, WorkerNote, WorkerStage,
 };
+use crossbeam_channel::Sender;
 use serde::Serialize;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
--- a/crates/celerywinch_fleet/src/store.rs
+++ b/crates/celerywinch_fleet/src/store.rs
@@ -1,21 +1,24 @@
-//! The keeper's thread: the configuration's log and its disk. Nothing that serves a caller waits
-//! for it.
+//! The keeper's thread: the configuration's log. Nothing that serves a caller waits for it, and it does not wait for its
+//! disk, which has a thread of its own.
+
+mod writer;
 
 use std::path::PathBuf;
-use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::thread;
 use std::time::Duration;
 
 use anyhow::Context;
 use celerywinch_registry::{Figures, Held, Registry, RegistryOutput, Request};
-use celerywinch_store::{Disk, Input, KeeperId, Output, RaftConfig, Record, load_file, save_file};
+use celerywinch_store::{Disk, Input, KeeperId, Output, RaftConfig, Record, load_file};
 use celerywinch_types::{
     Evacuations, FleetMsg, InstanceId, KeepMsg, KeeperState, Time, WorkerNote,
 };
+use crossbeam_channel::{Receiver, Sender, never, select, unbounded};
 use tokio::sync::mpsc::UnboundedSender;
 
 use crate::core::CoreMsg;
 use crate::{Clock, FleetConfig};
+use writer::{Write, Writer, Written};
 
 /// Between two ticks of the log.
 const TICK: Duration = Duration::from_millis(25);
@@ -30,8 +33,6 @@
 const REOPEN: Duration = Duration::from_secs(1);
 /// The folder of the log within the data folder.
 const FOLDER: &str = "registry";
-/// The file with the workers within the data folder.
-const WORKERS: &str = "workers";
 /// The thread's stack, in bytes; it calls nothing deep.
 const STACK: usize = 256 << 10;
 
@@ -65,7 +66,9 @@
     folder: PathBuf,
     clock: Clock,
     core: UnboundedSender<CoreMsg>,
-    open: Option<(Registry, Disk)>,
+    open: Option<(Registry, Writer)>,
+    /// What became of writes to the disk that is open.
+    written: Receiver<Written>,
     reopen_at: Time,
     contacts: Vec<InstanceId>,
 }
@@ -86,12 +89,13 @@
         clock,
         core,
         open: None,
+        written: never(),
         reopen_at: Time::NEVER,
         contacts: Vec::new(),
     };
     store.load_workers();
     store.open()?;
-    let (sender, inbox) = channel();
+    let (sender, inbox) = unbounded();
     thread::Builder::new()
         .name("store".into())
         .stack_size(STACK)
@@ -131,7 +135,9 @@
         if registry.held().version > 0 {
             self.tell(StoreOut::Committed(registry.held().clone()));
         }
-        self.open = Some((registry, disk));
+        let (writer, written) = Writer::start(disk, &self.folder)?;
+        self.open = Some((registry, writer));
+        self.written = written;
         Ok(())
     }
 
@@ -143,10 +149,17 @@
     fn run(&mut self, inbox: &Receiver<StoreIn>) {
         let mut ticked = self.clock.now();
         loop {
-            match inbox.recv_timeout(TICK) {
-                Ok(msg) => self.take(msg),
-                Err(RecvTimeoutError::Timeout) => {}
-                Err(RecvTimeoutError::Disconnected) => return,
+            let written = self.written.clone();
+            select! {
+                recv(inbox) -> msg => match msg {
+                    Ok(msg) => self.take(msg),
+                    Err(_) => return,
+                },
+                recv(written) -> result => match result {
+                    Ok(result) => self.wrote(result),
+                    Err(_) => self.written = never(),
+                },
+                default(TICK) => {}
             }
             let now = self.clock.now();
             if now.since(ticked) >= TICK {
@@ -180,7 +193,11 @@
                 }
                 self.with(now, |registry, out| registry.request(now, request, out));
             }
-            StoreIn::Workers(workers) => self.save_workers(&workers),
+            StoreIn::Workers(workers) => {
+                if let Some((_, writer)) = &self.open {
+                    writer.write(Write::Workers(workers));
+                }
+            }
             StoreIn::Contacts(contacts) => {
                 self.contacts = contacts.clone();
                 if let Some((registry, _)) = &mut self.open {
@@ -194,19 +211,12 @@
     /// waits for that refuses callers for want of workers which are there; with the list it looks at
     /// them at once, and what has gone meanwhile does not answer.
     fn load_workers(&self) {
-        match load_file(&self.folder, WORKERS) {
+        match load_file(&self.folder, writer::WORKERS) {
             Ok(workers) => self.tell(StoreOut::Workers(workers.unwrap_or_default())),
             Err(error) => log::warn!("store: The workers known before cannot be read: {error:#}."),
         }
     }
 
-    /// Nothing rests on the file: without it workers are known when they announce themselves.
-    fn save_workers(&self, workers: &[WorkerNote]) {
-        if let Err(error) = save_file(&self.folder, WORKERS, &workers) {
-            log::warn!("store: The workers cannot be written: {error:#}.");
-        }
-    }
-
     fn with(&mut self, now: Time, act: impl FnOnce(&mut Registry, &mut Vec<RegistryOutput>)) {
         let mut out = Vec::new();
         if let Some((registry, _)) = &mut self.open {
@@ -215,23 +225,24 @@
         self.carry_out(now, out);
     }
 
-    /// Carries outputs out strictly in order; the first that fails ends the keeper's life, so that
-    /// nothing leaves that rests on what is not on the disk.
     fn carry_out(&mut self, now: Time, out: Vec<RegistryOutput>) {
-        let mut synced = None;
         for output in out {
-            match self.output(output) {
-                Ok(index) => synced = index.or(synced),
-                Err(error) => {
-                    self.fail(now, &error);
-                    return;
-                }
+            if let Err(error) = self.output(output) {
+                self.fail(now, &error);
+                return;
             }
         }
-        if let Some(index) = synced {
-            let now = self.clock.now();
-            let input = Input::Persisted(index);
-            self.with(now, |registry, out| registry.handle(now, input, out));
+    }
+
+    /// The first write that fails ends the keeper's life, so that nothing leaves that rests on what is not on the disk.
+    fn wrote(&mut self, written: Written) {
+        let now = self.clock.now();
+        match written {
+            Ok(count) => {
+                let input = Input::Written(count);
+                self.with(now, |registry, out| registry.handle(now, input, out));
+            }
+            Err(error) => self.fail(now, &error.into()),
         }
     }
 
@@ -239,12 +250,13 @@
     fn fail(&mut self, now: Time, error: &anyhow::Error) {
         log::error!("store: The disk cannot be used, changes are refused: {error:#}.");
         self.open = None;
+        self.written = never();
         self.reopen_at = now + REOPEN;
     }
 
-    fn output(&mut self, output: RegistryOutput) -> anyhow::Result<Option<u64>> {
+    fn output(&mut self, output: RegistryOutput) -> anyhow::Result<()> {
         match output {
-            RegistryOutput::Log(output) => return self.log_output(output),
+            RegistryOutput::Log(output) => self.log_output(output)?,
             RegistryOutput::Answer(to, id, state) => self.answer(to, id, state),
             RegistryOutput::Forward(to, request) => {
                 let msg = KeepMsg::Propose {
@@ -258,7 +270,7 @@
                 self.tell(StoreOut::EvacuationsChanged(evacuations))
             }
         }
-        Ok(None)
+        Ok(())
     }
 
     fn answer(&self, to: InstanceId, id: u64, state: Option<KeeperState>) {
@@ -270,18 +282,18 @@
         self.tell(StoreOut::Send(to, msg));
     }
 
-    fn log_output(&mut self, output: Output) -> anyhow::Result<Option<u64>> {
-        let (registry, disk) = self.open.as_mut().context("store: no disk is open")?;
+    fn log_output(&self, output: Output) -> anyhow::Result<()> {
+        let (registry, writer) = self.open.as_ref().context("store: no disk is open")?;
         match output {
-            Output::PersistVote { term, vote } => disk.append(&[Record::Vote { term, vote }])?,
-            Output::Truncate(index) => disk.append(&[Record::Truncate(index)])?,
+            Output::PersistVote { term, vote } => {
+                writer.write(Write::Record(Record::Vote { term, vote }));
+            }
+            Output::Truncate(index) => writer.write(Write::Record(Record::Truncate(index))),
             Output::Persist(entries) => {
-                let last = entries.last().map(|entry| entry.index);
-                let records: Vec<_> = entries.into_iter().map(Record::Entry).collect();
-                disk.append(&records)?;
-                return Ok(last);
+                let records = entries.into_iter().map(Record::Entry).collect();
+                writer.write(Write::Records(records));
             }
-            Output::PersistSnapshot(snapshot) => disk.compact(&snapshot)?,
+            Output::PersistSnapshot(snapshot) => writer.write(Write::Snapshot(snapshot)),
             Output::Send(to, to_disk, msg) => {
                 let bytes = registry.wrap(to, to_disk, msg)?;
                 self.tell(StoreOut::Send(to, FleetMsg::Log(bytes)));
@@ -293,6 +305,6 @@
             // Dealt with by the registry's state machine.
             Output::Apply(_) | Output::Restore(_) | Output::Compact(_) | Output::Readable(_) => {}
         }
-        Ok(None)
+        Ok(())
     }
 }
--- a/crates/celerywinch_node/src/store.rs
+++ b/crates/celerywinch_node/src/store.rs
@@ -270,18 +270,18 @@
     /// Carries outputs out strictly in order; the first that fails ends the keeper's life, so that
     /// nothing leaves that rests on what is not on the disk.
     fn keeper_outputs(&mut self, now: Time, out: Vec<KeeperOutput>) {
-        let mut synced = None;
+        let mut writes = 0;
         for output in out {
             match self.keeper_output(now, output) {
-                Ok(index) => synced = index.or(synced),
+                Ok(written) => writes += usize::from(written),
                 Err(error) => {
                     self.fail(now, &error);
                     return;
                 }
             }
         }
-        if let Some(index) = synced {
-            self.input(now, Input::Persisted(index));
+        if writes > 0 {
+            self.input(now, Input::Written(writes));
         }
     }
 
@@ -293,7 +293,8 @@
         self.reopen_at = now + REOPEN;
     }
 
-    fn keeper_output(&mut self, now: Time, output: KeeperOutput) -> anyhow::Result<Option<u64>> {
+    /// Whether the output was a write to the log's disk.
+    fn keeper_output(&mut self, now: Time, output: KeeperOutput) -> anyhow::Result<bool> {
         match output {
             KeeperOutput::Log(output) => return self.log_output(now, output),
             KeeperOutput::Answer(to, id, answer) => {
@@ -309,34 +310,36 @@
                 self.tell(EntryInput::Committed(Arc::new(catalogue), leads));
             }
         }
-        Ok(None)
+        Ok(false)
     }
 
-    fn log_output(&mut self, now: Time, output: Output) -> anyhow::Result<Option<u64>> {
+    fn log_output(&mut self, now: Time, output: Output) -> anyhow::Result<bool> {
         let disk = self.disk.as_mut().context("store: no disk is open")?;
         match output {
             Output::PersistVote { term, vote } => disk.append(&[Record::Vote { term, vote }])?,
             Output::Truncate(index) => disk.append(&[Record::Truncate(index)])?,
             Output::Persist(entries) => {
-                let last = entries.last().map(|entry| entry.index);
                 let records: Vec<_> = entries.into_iter().map(Record::Entry).collect();
                 disk.append(&records)?;
-                return Ok(last);
             }
             Output::PersistSnapshot(snapshot) => disk.compact(&snapshot)?,
             Output::Send(to, to_disk, msg) => {
                 let keeper = self.keeper.as_ref().context("store: no keeper")?;
                 let msg = keeper.wrap(to, to_disk, msg)?;
                 self.send(now, to, &msg);
+                return Ok(false);
             }
             Output::Role(role) => {
                 log::info!("store: This keeper is now {role:?}.");
                 self.offer_first(now);
+                return Ok(false);
             }
             // Dealt with by the keeper's state machine.
-            Output::Apply(_) | Output::Restore(_) | Output::Compact(_) | Output::Readable(_) => {}
+            Output::Apply(_) | Output::Restore(_) | Output::Compact(_) | Output::Readable(_) => {
+                return Ok(false);
+            }
         }
-        Ok(None)
+        Ok(true)
     }
 
     /// A log without any catalogue gets the first one; all keepers offer it as the same change.
--- a/crates/celerywinch_registry/tests/rig/mod.rs
+++ b/crates/celerywinch_registry/tests/rig/mod.rs
@@ -57,17 +57,19 @@
 
     fn carry_out(&mut self, mut out: Vec<RegistryOutput>) {
         while !out.is_empty() {
-            let mut synced = None;
+            let mut writes = 0;
             for output in std::mem::take(&mut out) {
                 match output {
                     RegistryOutput::Log(Output::Persist(entries)) => {
-                        synced = entries.last().map(|entry| entry.index).or(synced);
+                        writes += 1;
                         self.disk.entries.extend(entries);
                     }
                     RegistryOutput::Log(Output::PersistVote { term, vote }) => {
+                        writes += 1;
                         self.disk.vote = (term, vote);
                     }
                     RegistryOutput::Log(Output::PersistSnapshot(snapshot)) => {
+                        writes += 1;
                         let index = snapshot.index;
                         self.disk.entries.retain(|entry| entry.index > index);
                         self.disk.snapshot = snapshot;
@@ -76,9 +78,9 @@
                     _ => {}
                 }
             }
-            if let Some(index) = synced {
-                self.registry
-                    .handle(self.now, Input::Persisted(index), &mut out);
+            if writes > 0 {
+                let written = Input::Written(writes);
+                self.registry.handle(self.now, written, &mut out);
             }
         }
     }
--- a/crates/celerywinch_registry/tests/slow_disks.rs
+++ b/crates/celerywinch_registry/tests/slow_disks.rs
@@ -21,16 +21,23 @@
 enum Event {
     Tick,
     Log(Vec<u8>),
-    Persisted(u64),
+    Written(usize),
     Request(Request),
 }
 
-/// Keepers with a thread each, which stands still while the disk writes.
+/// How many writes a disk has under way, and how many wait for these.
+#[derive(Clone, Copy, Default)]
+struct Writes {
+    under_way: usize,
+    queued: usize,
+}
+
+/// Keepers whose disks take a while for a write; what is queued meanwhile is written together.
 struct Group {
     now: Time,
     sync: Duration,
     keepers: Vec<Registry>,
-    busy: Vec<Time>,
+    disks: Vec<Writes>,
     events: BTreeMap<(Time, u64), (usize, Event)>,
     count: u64,
     answers: BTreeMap<u64, Option<KeeperState>>,
@@ -60,7 +67,7 @@
             now,
             sync,
             keepers: (1..=KEEPERS).map(keeper).collect(),
-            busy: vec![now; KEEPERS as usize],
+            disks: vec![Writes::default(); KEEPERS as usize],
             events: BTreeMap::new(),
             count: 0,
             answers: BTreeMap::new(),
@@ -86,11 +93,7 @@
             }
             let ((due, _), (keeper, event)) = self.events.pop_first().expect("an event");
             self.now = due;
-            if self.busy[keeper] > due {
-                self.at(self.busy[keeper], keeper, event);
-            } else {
-                self.take(keeper, event);
-            }
+            self.take(keeper, event);
         }
         if request.is_none_or(|id| !self.answers.contains_key(&id)) {
             self.now = self.now.max(until);
@@ -107,27 +110,27 @@
                 self.at(now + TICK, keeper, Event::Tick);
             }
             Event::Log(bytes) => registry.unwrap(now, &bytes, &mut out).expect("a message"),
-            Event::Persisted(index) => registry.handle(now, Input::Persisted(index), &mut out),
+            Event::Written(count) => {
+                registry.handle(now, Input::Written(count), &mut out);
+                self.disks[keeper].under_way = 0;
+            }
             Event::Request(request) => registry.request(now, request, &mut out),
         }
-        let mut at = now;
-        let mut synced = None;
         for output in out {
             match output {
-                RegistryOutput::Log(Output::Persist(entries)) => {
-                    at = at + self.sync;
-                    synced = entries.last().map(|entry| entry.index).or(synced);
-                }
-                RegistryOutput::Log(Output::PersistVote { .. } | Output::PersistSnapshot(_)) => {
-                    at = at + self.sync;
-                }
+                RegistryOutput::Log(
+                    Output::PersistVote { .. }
+                    | Output::Truncate(_)
+                    | Output::Persist(_)
+                    | Output::PersistSnapshot(_),
+                ) => self.disks[keeper].queued += 1,
                 RegistryOutput::Log(Output::Send(to, disk, msg)) => {
                     let bytes = self.keepers[keeper].wrap(to, disk, msg);
                     let bytes = bytes.expect("a message");
-                    self.at(at + WAY, to.0 as usize - 1, Event::Log(bytes));
+                    self.at(now + WAY, to.0 as usize - 1, Event::Log(bytes));
                 }
                 RegistryOutput::Forward(to, request) => {
-                    self.at(at + WAY, to.0 as usize - 1, Event::Request(request));
+                    self.at(now + WAY, to.0 as usize - 1, Event::Request(request));
                 }
                 RegistryOutput::Answer(_, id, state) => {
                     self.answers.insert(id, state);
@@ -137,9 +140,15 @@
                 | RegistryOutput::EvacuationsChanged(_) => {}
             }
         }
-        self.busy[keeper] = at;
-        if let Some(index) = synced {
-            self.at(at, keeper, Event::Persisted(index));
+        self.write(keeper);
+    }
+
+    fn write(&mut self, keeper: usize) {
+        let disk = &mut self.disks[keeper];
+        if disk.under_way == 0 && disk.queued > 0 {
+            disk.under_way = std::mem::take(&mut disk.queued);
+            let count = disk.under_way;
+            self.at(self.now + self.sync, keeper, Event::Written(count));
         }
     }
 
--- a/crates/celerywinch_store/src/raft/append.rs
+++ b/crates/celerywinch_store/src/raft/append.rs
@@ -25,14 +25,7 @@
         self.log.push(entry.clone());
         self.follow_group(now);
         self.send_all(now, out);
-        out.push(Output::Persist(vec![entry]));
-    }
-
-    pub(super) fn persisted(&mut self, _now: Time, index: u64, out: &mut Vec<Output>) {
-        self.synced = self.synced.max(index.min(self.log.last_index()));
-        if self.role == Role::Leader {
-            self.advance(out);
-        }
+        self.write_entries(now, vec![entry], out);
     }
 
     /// Regular work of a leader.
@@ -122,13 +115,12 @@
             return;
         }
         let last = entries.last().map_or(before.0, |entry| entry.index);
-        self.take_entries(entries, out);
-        let reply = RaftMsg::AppendReply {
-            term,
-            index: last,
-            taken: true,
-        };
-        self.send(from, reply, out);
+        let fresh = self.take_entries(now, entries, out);
+        self.matched = self.matched.max(last);
+        // Entries are acknowledged when they are synced.
+        if !fresh {
+            self.acknowledge(from, out);
+        }
         self.commit = self.commit.max(commit.min(last));
         self.apply(out);
     }
@@ -167,8 +159,18 @@
         self.send(from, reply, out);
     }
 
-    /// Takes entries; one that differs from what is here replaces it and all that follows.
-    fn take_entries(&mut self, entries: Vec<Entry>, out: &mut Vec<Output>) {
+    /// Tells the leader how far its log is on this keeper's disk.
+    pub(super) fn acknowledge(&self, leader: KeeperId, out: &mut Vec<Output>) {
+        let reply = RaftMsg::AppendReply {
+            term: self.term,
+            index: self.matched.min(self.synced),
+            taken: true,
+        };
+        self.send(leader, reply, out);
+    }
+
+    /// Takes entries; one that differs from what is here replaces it and all that follows. False if there is nothing to write.
+    fn take_entries(&mut self, now: Time, entries: Vec<Entry>, out: &mut Vec<Output>) -> bool {
         let mut fresh = Vec::new();
         for entry in entries {
             if entry.index <= self.log.snapshot.index {
@@ -178,18 +180,18 @@
                 Some(term) if term == entry.term => continue,
                 Some(_) => {
                     self.log.truncate(entry.index);
-                    self.synced = self.synced.min(entry.index - 1);
-                    out.push(Output::Truncate(entry.index));
+                    self.write_truncation(now, entry.index, out);
                 }
                 None => {}
             }
             self.log.push(entry.clone());
             fresh.push(entry);
         }
-        // Synced before the reply leaves: the leader counts this keeper by it.
-        if !fresh.is_empty() {
-            out.push(Output::Persist(fresh));
+        let any = !fresh.is_empty();
+        if any {
+            self.write_entries(now, fresh, out);
         }
+        any
     }
 
     pub(super) fn append_reply(
@@ -225,7 +227,7 @@
     }
 
     /// Commits what a majority of the voters has synced.
-    fn advance(&mut self, out: &mut Vec<Output>) {
+    pub(super) fn advance(&mut self, out: &mut Vec<Output>) {
         let group = self.log.group();
         let me = self.config.me;
         let synced = |keeper: &KeeperId| {
@@ -259,19 +261,17 @@
         }
         let index = snapshot.index;
         if index > self.commit {
-            self.log.compact(snapshot.clone());
+            self.replace_log(&snapshot);
             self.commit = index;
             self.applied = index;
-            self.synced = self.log.last_index();
-            out.push(Output::PersistSnapshot(snapshot.clone()));
+            self.write_snapshot(now, snapshot.clone(), out);
             out.push(Output::Restore(snapshot));
         }
-        let reply = RaftMsg::AppendReply {
-            term,
-            index: index.max(self.commit),
-            taken: true,
-        };
-        self.send(from, reply, out);
+        // What is committed here is in the leader's log as well.
+        self.matched = self.matched.max(self.commit);
+        if self.matched <= self.synced {
+            self.acknowledge(from, out);
+        }
     }
 
     /// Keeps progress for exactly the keepers of the group.
--- a/crates/celerywinch_store/src/raft/election.rs
+++ b/crates/celerywinch_store/src/raft/election.rs
@@ -1,11 +1,40 @@
 //! Elections.
 
+use std::time::Duration;
+
 use celerywinch_types::Time;
 
 use super::{Output, Progress, Raft, Role};
 use crate::{KeeperId, Payload, RaftMsg};
 
 impl Raft {
+    /// Stands for election once no leader was heard for long enough.
+    ///
+    /// An election takes two writes, the candidate's and the voters'. With disks slower than the timeout each election would be
+    /// overtaken by the next one, so time in which this keeper writes a vote does not count, a candidate gives the voters
+    /// as long as its own writes take, and whoever has backed one waits for it as long.
+    pub(super) fn await_election(&mut self, now: Time, out: &mut Vec<Output>) {
+        if self.writes_vote() {
+            self.heard = now;
+            return;
+        }
+        let votes = if self.role == Role::Candidate {
+            self.write_time * 2
+        } else {
+            Duration::ZERO
+        };
+        if now.since(self.heard) >= self.timeout + votes && self.backed_other(now).is_none() {
+            self.stand(now, out);
+        }
+    }
+
+    /// The candidate whose election may be under way, as this keeper said that it would be of use.
+    fn backed_other(&self, now: Time) -> Option<KeeperId> {
+        let span = self.config.election + self.write_time * 2;
+        let backed = self.backed.filter(|(_, at)| now.since(*at) < span);
+        backed.map(|(candidate, _)| candidate)
+    }
+
     /// Time is up without a leader: asks first whether an election would be of use.
     ///
     /// A keeper that was cut off for long would otherwise come back with a high term and depose a
@@ -48,7 +77,13 @@
         if self.role == Role::Blank {
             return;
         }
-        let granted = term > self.term && self.up_to_date(last) && !self.has_leader(now);
+        // A vote that is being written belongs to an election that may still be won.
+        let backs = self.backed_other(now).is_none_or(|other| other == from);
+        let free = backs && !self.has_leader(now) && !self.writes_vote();
+        let granted = term > self.term && self.up_to_date(last) && free;
+        if granted {
+            self.backed = Some((from, now));
+        }
         let term = if granted { term } else { self.term };
         self.send(from, RaftMsg::PreVoteReply { term, granted }, out);
     }
@@ -100,14 +135,29 @@
     }
 
     fn ask_for_votes(&mut self, now: Time, out: &mut Vec<Output>) {
-        self.term += 1;
-        self.vote = Some(self.config.me);
         // Synced before anyone is asked: after a restart this keeper must not vote for another.
-        out.push(Output::PersistVote {
-            term: self.term,
-            vote: self.vote,
-        });
+        self.enter_term(now, self.term + 1, Some(self.config.me), out);
         self.set_role(now, Role::Candidate, out);
+    }
+
+    /// This keeper's vote for a keeper is synced, and the term is still the same.
+    pub(super) fn voted(&mut self, now: Time, vote: KeeperId, out: &mut Vec<Output>) {
+        if vote != self.config.me {
+            let granted = RaftMsg::VoteReply {
+                term: self.term,
+                granted: true,
+            };
+            self.send(vote, granted, out);
+            return;
+        }
+        match self.role {
+            Role::Blank => self.appoint(now, out),
+            Role::Candidate => self.count_own_vote(now, out),
+            Role::Follower(_) | Role::PreCandidate | Role::Leader => {}
+        }
+    }
+
+    fn count_own_vote(&mut self, now: Time, out: &mut Vec<Output>) {
         self.votes = vec![self.config.me];
         let msg = RaftMsg::Vote {
             term: self.term,
@@ -138,12 +188,10 @@
         let free = self.vote.is_none() || self.vote == Some(from);
         let granted = term == self.term && free && self.up_to_date(last);
         if granted {
-            self.vote = Some(from);
+            // Told once it is synced: after a restart this keeper must not vote for another.
             self.heard = now;
-            out.push(Output::PersistVote {
-                term,
-                vote: self.vote,
-            });
+            self.enter_term(now, term, Some(from), out);
+            return;
         }
         let term = self.term;
         self.send(from, RaftMsg::VoteReply { term, granted }, out);
--- a/crates/celerywinch_store/src/raft/group.rs
+++ b/crates/celerywinch_store/src/raft/group.rs
@@ -38,7 +38,8 @@
             let msg = RaftMsg::Hello { formed: false };
             out.push(Output::Send(instance, None, msg));
         }
-        if self.config.forms && self.config.instances.contains(&me) {
+        let forming = !self.unsynced.is_empty();
+        if self.config.forms && !forming && self.config.instances.contains(&me) {
             self.form_group(now, out);
         }
     }
@@ -88,20 +89,14 @@
             payload: Payload::Group(group),
         };
         self.log.push(entry.clone());
-        out.push(Output::Persist(vec![entry]));
+        self.write_entries(now, vec![entry], out);
         // It leads its first term if a majority follows; the others are blank and take the entry
         // from whoever says that it leads, so it appoints itself in term 1.
-        self.term = 1;
-        self.vote = Some(me);
-        out.push(Output::PersistVote {
-            term: 1,
-            vote: Some(me),
-        });
-        self.appoint(now, out);
+        self.enter_term(now, 1, Some(me), out);
     }
 
     /// Leads the first term: nobody else can, for the others have no group to be elected by.
-    fn appoint(&mut self, now: Time, out: &mut Vec<Output>) {
+    pub(super) fn appoint(&mut self, now: Time, out: &mut Vec<Output>) {
         self.set_role(now, Role::Leader, out);
         self.progress.clear();
         self.follow_group(now);
--- a/crates/celerywinch_store/src/raft/mod.rs
+++ b/crates/celerywinch_store/src/raft/mod.rs
@@ -4,8 +4,9 @@
 mod election;
 mod group;
 mod read;
+mod write;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use celerywinch_types::{InstanceId, Time};
@@ -47,8 +48,9 @@
     /// A read of the state machine that must not be stale, by a number of the host's; only a leader takes it. Answered by
     /// [`Output::Readable`], unless the keeper ceases to lead.
     Read(u64),
-    /// What the last [`Output::Persist`]s hold has been synced, up to this index.
-    Persisted(u64),
+    /// As many of the oldest writes as this have been synced, beside those that were reported before. Each
+    /// [`Output::PersistVote`], [`Output::Truncate`], [`Output::Persist`] and [`Output::PersistSnapshot`] is one.
+    Written(usize),
     /// The state machine's state after the entry `index`, asked for by [`Output::Compact`].
     State {
         /// The last entry applied to it.
@@ -60,7 +62,10 @@
     Tick,
 }
 
-/// What the host is to do, strictly in this order.
+/// What the host is to do.
+///
+/// Writes are carried out one after the other, in this order, and reported by [`Input::Written`]. The other outputs do
+/// not wait for them: a message that rests on a write is only sent once that is reported.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Output {
     /// Write and sync the term and the vote.
@@ -70,9 +75,9 @@
         /// Who has the vote in it.
         vote: Option<KeeperId>,
     },
-    /// Drop the entries from this index on; synced with what follows.
+    /// Drop the entries from this index on; may be synced with what follows.
     Truncate(u64),
-    /// Write and sync entries, then say so by [`Input::Persisted`].
+    /// Write and sync entries.
     Persist(Vec<Entry>),
     /// Write and sync a snapshot, and drop the entries that it includes.
     PersistSnapshot(Snapshot),
@@ -124,6 +129,14 @@
     log: Log,
     /// What this keeper has synced.
     synced: u64,
+    /// How far the log is known to be that of the leader of this term.
+    matched: u64,
+    /// Writes that are not reported yet and when they began, oldest first.
+    unsynced: VecDeque<(Time, write::Write)>,
+    /// How long the last write took.
+    write_time: Duration,
+    /// Who was last told that its election would be of use, and when.
+    backed: Option<(KeeperId, Time)>,
     commit: u64,
     applied: u64,
     role: Role,
@@ -168,6 +181,10 @@
             term: vote.0,
             vote: vote.1,
             synced: log.last_index(),
+            matched: 0,
+            unsynced: VecDeque::new(),
+            write_time: Duration::ZERO,
+            backed: None,
             commit: base,
             applied: base,
             role: if blank {
@@ -199,14 +216,14 @@
             Input::Message(from, msg) => self.message(now, from, msg, out),
             Input::Propose(command) => self.propose(now, Payload::Command(command), out),
             Input::Read(id) => self.read(id, out),
-            Input::Persisted(index) => self.persisted(now, index, out),
-            Input::State { index, state } => self.compact(index, state, out),
+            Input::Written(count) => self.written(now, count, out),
+            Input::State { index, state } => self.compact(now, index, state, out),
             Input::Tick => self.tick(now, out),
         }
     }
 
-    /// While this keeper waited for its disk it heard nobody, and that is nobody's silence. With slow disks each write would
-    /// else be followed by an election, and nothing be committed any more.
+    /// While this keeper's process stood still it heard nobody, and that is nobody's silence. Each pause would else be
+    /// followed by an election, and nothing be committed any more.
     fn notice_pause(&mut self, now: Time) {
         let pause = now.since(self.lived);
         self.lived = now;
@@ -303,9 +320,7 @@
             Role::Blank => self.look_for_group(now, out),
             Role::Leader => self.lead(now, out),
             Role::Follower(_) | Role::PreCandidate | Role::Candidate => {
-                if now.since(self.heard) >= self.timeout {
-                    self.stand(now, out);
-                }
+                self.await_election(now, out);
             }
         }
     }
@@ -343,9 +358,7 @@
     /// A message shows a later term: follow whoever leads it.
     fn observe(&mut self, now: Time, term: u64, leader: Option<KeeperId>, out: &mut Vec<Output>) {
         if term > self.term {
-            self.term = term;
-            self.vote = None;
-            out.push(Output::PersistVote { term, vote: None });
+            self.enter_term(now, term, None, out);
             self.set_role(now, Role::Follower(leader), out);
         }
     }
@@ -365,7 +378,7 @@
         }
     }
 
-    fn compact(&mut self, index: u64, state: Vec<u8>, out: &mut Vec<Output>) {
+    fn compact(&mut self, now: Time, index: u64, state: Vec<u8>, out: &mut Vec<Output>) {
         self.compacting = false;
         let Some(term) = self.log.term(index) else {
             return;
@@ -380,7 +393,7 @@
             state,
         };
         self.log.compact(snapshot.clone());
-        out.push(Output::PersistSnapshot(snapshot));
+        self.write_snapshot(now, snapshot, out);
     }
 
     /// The keepers as of an entry that is still in the log.
--- a/crates/celerywinch_store/tests/members.rs
+++ b/crates/celerywinch_store/tests/members.rs
@@ -68,10 +68,10 @@
             self.keepers[index].handle(self.now, input, &mut out);
             for output in out {
                 match output {
-                    Output::Persist(entries) => {
-                        let last = entries.last().map_or(0, |entry| entry.index);
-                        inputs.insert(0, (index, Input::Persisted(last)));
-                    }
+                    Output::PersistVote { .. }
+                    | Output::Truncate(_)
+                    | Output::Persist(_)
+                    | Output::PersistSnapshot(_) => inputs.insert(0, (index, Input::Written(1))),
                     Output::Send(to, _, msg) => {
                         let msg: RaftMsg = msg;
                         let from = Input::Message(id(index), msg);
--- a/crates/celerywinch_store/tests/reads.rs
+++ b/crates/celerywinch_store/tests/reads.rs
@@ -48,6 +48,7 @@
         handle(&mut raft, now, Input::Tick);
     }
     from(&mut raft, 2, RaftMsg::PreVoteReply { term: 2, granted });
+    handle(&mut raft, NOW, Input::Written(1));
     from(&mut raft, 2, RaftMsg::VoteReply { term: 2, granted });
     assert_eq!((raft.role(), raft.term()), (Role::Leader, 2));
     raft
@@ -72,7 +73,7 @@
 }
 
 fn commit_first_entry(raft: &mut Raft) {
-    handle(raft, NOW, Input::Persisted(2));
+    handle(raft, NOW, Input::Written(1));
     let taken = RaftMsg::AppendReply {
         term: 2,
         index: 2,
@@ -115,7 +116,7 @@
     let released = from(&mut raft, 2, RaftMsg::ConfirmReply { term, round });
     assert_eq!(released, if case.released { vec![7] } else { Vec::new() });
     if !case.committed {
-        handle(&mut raft, NOW, Input::Persisted(2));
+        handle(&mut raft, NOW, Input::Written(1));
         let taken = RaftMsg::AppendReply {
             term: 2,
             index: 2,
--- a/crates/celerywinch_store/tests/votes.rs
+++ b/crates/celerywinch_store/tests/votes.rs
@@ -48,21 +48,29 @@
     let ask = |term| RaftMsg::Vote { term, last: (1, 1) };
     let mut out = Vec::new();
     raft.handle(now, Input::Message(keeper(2), ask(5)), &mut out);
-    let synced = out.iter().position(|output| {
-        *output
-            == Output::PersistVote {
-                term: 5,
-                vote: Some(keeper(2)),
-            }
-    });
-    let told = out.iter().position(|output| {
-        let granted = RaftMsg::VoteReply {
-            term: 5,
-            granted: true,
-        };
-        matches!(output, Output::Send(_, _, msg) if *msg == granted)
-    });
-    assert!(synced.is_some() && synced < told, "{out:?}");
+    let vote = Output::PersistVote {
+        term: 5,
+        vote: Some(keeper(2)),
+    };
+    assert!(out.contains(&vote), "{out:?}");
+    let writes = out
+        .iter()
+        .filter(|output| !matches!(output, Output::Send(..)));
+    let writes = writes
+        .filter(|output| !matches!(output, Output::Role(_)))
+        .count();
+    let granted = RaftMsg::VoteReply {
+        term: 5,
+        granted: true,
+    };
+    let told = |out: &[Output]| {
+        let mut out = out.iter();
+        out.any(|output| matches!(output, Output::Send(_, _, msg) if *msg == granted))
+    };
+    raft.handle(now, Input::Written(writes - 1), &mut out);
+    assert!(!told(&out), "before it is synced: {out:?}");
+    raft.handle(now, Input::Written(1), &mut out);
+    assert!(told(&out), "{out:?}");
     // After the restart, from what the disk held.
     let vote = (5, Some(keeper(2)));
     let mut again = Raft::new(config(1), now, vote, Snapshot::default(), formed());
