Acknowledge changes that are sent again while commits take longer than their callers wait

What callers saw: with writes of 900 ms and of 2 s no change and no order to evacuate was ever acknowledged. Each try ended before its commit, and the next one needed a commit of its own (virtual time, tries of 850 ms with pauses of 300 ms).

A change whose version is held already changes nothing, so it is answered by a read that a majority confirms. An order to evacuate has to raise the revision once more, or an earlier order that was read before could undo it. An order for whose commit nobody waits any more is therefore proposed once more by the leader, on the revision that it has led to; the caller's next try is equal to it and shares its entry. It stops as soon as somebody was answered, or nobody asked again.

Ruled out: answering the second try at once by a read (a delayed order that rests on the same revision may still come into force); a longer wait at the keeper (callers move on after a second).

--- a/crates/celerywinch_fleet/src/handle.rs
+++ b/crates/celerywinch_fleet/src/handle.rs
@@ -6,6 +6,7 @@
 
 use arc_swap::ArcSwapOption;
 use celerywinch_origin::{CallerId, NewJob};
+use celerywinch_registry::PATIENCE;
 use celerywinch_types::{
     DataCentreId, EvacuationOrder, Incarnation, InstanceId, JobEnd, KeeperRequest, KeeperState,
     QueueBook, WallMs, WorkerNote,
@@ -17,9 +18,6 @@
 use crate::core::CoreMsg;
 use crate::metrics::Metrics;
 
-/// How long an operator's request waits for the log. Callers of the keepers move on after a second.
-const KEEPERS: Duration = Duration::from_millis(850);
-
 /// What requests read without asking the core.
 #[derive(Debug, Default)]
 pub(crate) struct Snapshot {
@@ -162,21 +160,21 @@
     /// it; none if it is not known what became of it.
     pub async fn propose(&self, version: u64, document: Vec<u8>) -> Option<u64> {
         let request = KeeperRequest::PutDocument(version, document);
-        let state = tokio::time::timeout(KEEPERS, self.keep(request)).await;
+        let state = tokio::time::timeout(PATIENCE, self.keep(request)).await;
         Some(state.ok().flatten()?.version)
     }
 
     /// Reads the newest version and document; `None` if the keepers did not confirm them in time.
     pub async fn read(&self) -> Option<KeeperState> {
         let question = self.keep(KeeperRequest::ReadDocument);
-        let state = tokio::time::timeout(KEEPERS, question).await;
+        let state = tokio::time::timeout(PATIENCE, question).await;
         state.ok().flatten()
     }
 
     /// Starts or ends the evacuation of a data centre; false if the outcome is unknown.
     pub async fn set_evacuated(&self, dc: DataCentreId, evacuated: bool) -> bool {
         let order = self.order_evacuation(dc, evacuated);
-        let done = tokio::time::timeout(KEEPERS, order).await;
+        let done = tokio::time::timeout(PATIENCE, order).await;
         done.ok().flatten().is_some()
     }
 
--- a/crates/celerywinch_registry/src/lib.rs
+++ b/crates/celerywinch_registry/src/lib.rs
@@ -2,10 +2,10 @@
 //! which the highest is held, and the set of evacuated data centres with a revision.
 //!
 //! [`Registry`] is a state machine without clock, socket or disk, like the log under it. The host
-//! carries out its outputs strictly in order, and guarantees that a document was checked before it
+//! carries out its outputs as the log wants it, and guarantees that a document was checked before it
 //! is proposed. A read goes through the log as well: what it answers was the newest at some moment
 //! after it was asked, also where the keeper was frozen or cut off meanwhile.
 
 mod registry;
 
-pub use registry::{Figures, Held, Registry, RegistryOutput, Request};
+pub use registry::{Figures, Held, PATIENCE, Registry, RegistryOutput, Request};
--- a/crates/celerywinch_registry/src/registry.rs
+++ b/crates/celerywinch_registry/src/registry.rs
@@ -1,6 +1,7 @@
 //! The state machine.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use anyhow::Context;
 use bincode::config::standard;
@@ -72,12 +73,16 @@
     pub version: u64,
 }
 
+/// How long a request is waited for: callers of the keepers move on after a second, and try another one.
+pub const PATIENCE: Duration = Duration::from_millis(850);
+
 /// A request whose entry is not committed yet.
 #[derive(Clone, Copy, Debug)]
 struct Pending {
     term: u64,
     from: InstanceId,
     id: u64,
+    asked: Time,
     /// Whether the document is asked for.
     read: bool,
 }
@@ -96,6 +101,8 @@
     next_read: u64,
     /// The index of the last entry that was proposed here.
     proposed: u64,
+    /// Orders to propose once more.
+    repeats: Vec<EvacuationOrder>,
 }
 
 impl Registry {
@@ -117,6 +124,7 @@
             reads: BTreeMap::new(),
             next_read: 0,
             proposed,
+            repeats: Vec::new(),
         })
     }
 
@@ -158,14 +166,25 @@
             let mut outputs = Vec::new();
             self.raft.handle(now, input, &mut outputs);
             for output in outputs {
-                self.output(output, &mut inputs, out);
+                self.output(now, output, &mut inputs, out);
             }
         }
+        for order in std::mem::take(&mut self.repeats) {
+            let index = self.propose(now, &Command::Evacuate(order), out);
+            // Requests that are sent again find the entry here.
+            self.pending.entry(index).or_default();
+        }
     }
 
-    fn output(&mut self, output: Output, inputs: &mut Vec<Input>, out: &mut Vec<RegistryOutput>) {
+    fn output(
+        &mut self,
+        now: Time,
+        output: Output,
+        inputs: &mut Vec<Input>,
+        out: &mut Vec<RegistryOutput>,
+    ) {
         match output {
-            Output::Apply(entry) => self.apply(entry, out),
+            Output::Apply(entry) => self.apply(now, entry, out),
             Output::Restore(snapshot) => self.restore(&snapshot, out),
             Output::Compact(index) => {
                 let state = (&self.held, &self.evacuations);
@@ -209,13 +228,18 @@
             term: self.raft.term(),
             from: request.from,
             id: request.id,
+            asked: now,
             read: request.request == KeeperRequest::ReadDocument,
         };
         let command = match request.request {
             KeeperRequest::ReadDocument | KeeperRequest::ReadEvacuations => {
-                self.next_read += 1;
-                self.reads.insert(self.next_read, pending);
-                self.handle(now, Input::Read(self.next_read), out);
+                self.read(now, pending, out);
+                return;
+            }
+            // Changes nothing. Where it was sent again, as its commit took longer than its caller waits, a commit of its own
+            // would take as long.
+            KeeperRequest::PutDocument(version, _) if version <= self.held.version => {
+                self.read(now, pending, out);
                 return;
             }
             KeeperRequest::PutDocument(version, document) => {
@@ -223,35 +247,65 @@
             }
             KeeperRequest::Evacuate(order) => Command::Evacuate(order),
         };
-        let command = bincode::serde::encode_to_vec(&command, standard());
+        let index = self.propose(now, &command, out);
+        self.pending.entry(index).or_default().push(pending);
+    }
+
+    /// Answers with what is held, once a majority has confirmed that this keeper leads.
+    fn read(&mut self, now: Time, pending: Pending, out: &mut Vec<RegistryOutput>) {
+        self.next_read += 1;
+        self.reads.insert(self.next_read, pending);
+        self.handle(now, Input::Read(self.next_read), out);
+    }
+
+    /// Proposes a command; the index of its entry.
+    ///
+    /// A request that is sent again, as its commit takes longer than its caller waits, shares the entry of the first one: each
+    /// with an entry of its own would wait as long again, and none might ever be answered.
+    fn propose(&mut self, now: Time, command: &Command, out: &mut Vec<RegistryOutput>) -> u64 {
+        let command = bincode::serde::encode_to_vec(command, standard());
         let command = command.expect("plain data encodes");
-        // A request that is sent again, as its commit takes longer than its caller waits, shares the entry of the first one: each
-        // with an entry of its own would wait as long again, and none might ever be answered.
         let mut open = self.pending.keys().rev().copied();
         let same = open.find(|index| self.raft.open_command(*index) == Some(&command));
-        let index = same.unwrap_or_else(|| {
+        same.unwrap_or_else(|| {
             self.handle(now, Input::Propose(command), out);
             self.proposed
-        });
-        self.pending.entry(index).or_default().push(pending);
+        })
     }
 
-    fn apply(&mut self, entry: Entry, out: &mut Vec<RegistryOutput>) {
+    fn apply(&mut self, now: Time, entry: Entry, out: &mut Vec<RegistryOutput>) {
         let Payload::Command(command) = &entry.payload else {
             return;
         };
+        let waiting = self.pending.remove(&entry.index).unwrap_or_default();
         match bincode::serde::decode_from_slice(command, standard()) {
             Ok((Command::PutDocument(version, document), _)) => self.hold(version, document, out),
-            Ok((Command::Evacuate(order), _)) => self.evacuate(order, out),
+            Ok((Command::Evacuate(order), _)) => {
+                self.evacuate(order, out);
+                self.repeat(now, order, &waiting);
+            }
             Ok((Command::Read, _)) => {}
             Err(error) => log::error!("registry: Entry {} is no command: {error}.", entry.index),
         }
-        for pending in self.pending.remove(&entry.index).unwrap_or_default() {
+        for pending in waiting {
             let state = (pending.term == entry.term).then(|| self.state(pending.read));
             out.push(RegistryOutput::Answer(pending.from, pending.id, state));
         }
     }
 
+    /// Proposes an order once more if nobody waits for its commit any more.
+    ///
+    /// Its caller sends it again. That order rests on the revision which this one has led to, and needs a commit of its own:
+    /// where each takes longer than its caller waits, none would ever be acknowledged. This one is under way by then.
+    fn repeat(&mut self, now: Time, order: EvacuationOrder, waiting: &[Pending]) {
+        let late = |pending: &Pending| now.since(pending.asked) >= PATIENCE;
+        let leads = self.raft.role() == Role::Leader;
+        if leads && !waiting.is_empty() && waiting.iter().all(late) {
+            let base = self.evacuations.revision;
+            self.repeats.push(EvacuationOrder { base, ..order });
+        }
+    }
+
     fn state(&self, with_document: bool) -> KeeperState {
         let document = if with_document {
             self.held.document.clone()
--- a/crates/celerywinch_registry/tests/slow_disks.rs
+++ b/crates/celerywinch_registry/tests/slow_disks.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use celerywinch_registry::{Registry, RegistryOutput, Request};
+use celerywinch_registry::{PATIENCE, Registry, RegistryOutput, Request};
 use celerywinch_store::{Input, KeeperId, Loaded, Output, RaftConfig};
 use celerywinch_types::{
     DataCentreId, EvacuationOrder, InstanceId, KeeperRequest, KeeperState, Time,
@@ -14,8 +14,7 @@
 const TICK: Duration = Duration::from_millis(25);
 /// One way between two keepers.
 const WAY: Duration = Duration::from_millis(1);
-/// How long an operator's request is waited for, and the pause before it is sent to the next keeper.
-const PATIENCE: Duration = Duration::from_millis(850);
+/// Before an operator's request is sent to the next keeper.
 const PAUSE: Duration = Duration::from_millis(300);
 
 enum Event {
@@ -199,6 +198,8 @@
 #[case::slower_than_half_a_try(450)]
 #[case::slower_than_an_election(600)]
 #[case::nearly_as_slow_as_a_try(800)]
+#[case::slower_than_a_try(900)]
+#[case::two_tries(2_000)]
 fn orders_are_acknowledged_with_slow_disks(#[case] sync: u64) {
     let mut group = Group::new(Duration::from_millis(sync));
     group.run(group.now + Duration::from_secs(20), None);
@@ -212,6 +213,38 @@
     );
 }
 
+/// Guards against reads that are refused, and changes that are never acknowledged, while disks write: the keeper's thread stood
+/// still meanwhile, and a change that was sent again needed a commit of its own.
+#[rstest]
+#[case::fast(9)]
+#[case::slower_than_a_try(900)]
+#[case::two_tries(2_000)]
+fn changes_and_reads_with_slow_disks(#[case] sync: u64) {
+    let mut group = Group::new(Duration::from_millis(sync));
+    group.run(group.now + Duration::from_secs(20), None);
+    for version in 1..4 {
+        let start = group.now;
+        let mut keeper = version as usize % KEEPERS as usize;
+        let held = loop {
+            let until = group.now + PATIENCE;
+            let put = KeeperRequest::PutDocument(version, vec![7]);
+            if let Some(state) = group.ask(keeper, until, put) {
+                break state.version;
+            }
+            let asked = group.now;
+            let until = asked + PATIENCE;
+            let read = group.ask(keeper, until, KeeperRequest::ReadDocument);
+            assert!(read.is_some(), "no answer to a read");
+            let took = group.now.since(asked);
+            assert!(took <= Duration::from_millis(50), "a read took {took:?}");
+            group.run(group.now + PAUSE, None);
+            keeper = (keeper + 1) % KEEPERS as usize;
+            assert!(group.now.since(start) < Duration::from_secs(12));
+        };
+        assert_eq!(held, version);
+    }
+}
+
 /// Guards against a delayed order that undoes a later one: it was sent to a keeper that stood still, and given up.
 #[rstest]
 #[case(9)]
