--- a/crates/celerywinch_store/src/disk.rs
+++ b/crates/celerywinch_store/src/disk.rs
@@ -121,8 +121,7 @@
             ..Loaded::default()
         };
         records.into_iter().for_each(|record| loaded.take(record));
-        let start = loaded.snapshot.index;
-        loaded.entries.retain(|entry| entry.index > start);
+        drop_included(&mut loaded.entries, &loaded.snapshot);
         let options = OpenOptions::new().create(true).append(true).open(&path);
         let log = at("open", &path, options)?;
         at("cut the torn end", &path, log.set_len(length))?;
@@ -184,7 +183,7 @@
         encode(&mut bytes, snapshot);
         replace(&self.folder, SNAPSHOT, &bytes)?;
         // A crash here leaves entries that the snapshot includes; they are dropped at the start.
-        self.entries.retain(|entry| entry.index > snapshot.index);
+        drop_included(&mut self.entries, snapshot);
         let mut bytes = Vec::new();
         let (term, vote) = self.vote;
         encode(&mut bytes, &Record::Vote { term, vote });
@@ -210,6 +209,14 @@
     }
 }
 
+/// Drops entries that a snapshot includes, and those that follow another entry than its last one: they were never committed, and
+/// a keeper that counts them would take its log for a later one than it is.
+fn drop_included(entries: &mut Vec<Entry>, snapshot: &Snapshot) {
+    let last = entries.iter().find(|entry| entry.index == snapshot.index);
+    let agrees = last.is_none_or(|entry| entry.term == snapshot.term);
+    entries.retain(|entry| agrees && entry.index > snapshot.index);
+}
+
 fn encode<T: Serialize>(buffer: &mut Vec<u8>, value: &T) {
     let body = bincode::serde::encode_to_vec(value, standard()).expect("plain data encodes");
     let length = u32::try_from(body.len()).expect("records are far shorter than 4 GiB");
--- a/crates/celerywinch_store/tests/disk.rs
+++ b/crates/celerywinch_store/tests/disk.rs
@@ -128,6 +128,28 @@
     assert!(Disk::open(folder.path(), 7).is_err());
 }
 
+/// Guards against the loss of acknowledged changes: a snapshot of another keeper replaces entries that were never committed, and
+/// those behind it are back after a restart. By their term the keeper takes a log that lacks committed entries for as good as its own.
+#[rstest]
+#[case::replaced(false)]
+#[case::crash_before_the_log_is_replaced(true)]
+fn entries_that_a_snapshot_contradicts_are_gone(#[case] crash: bool) {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    write(folder.path(), 10);
+    let old = fs::read(log(folder.path())).expect("the log");
+    let (mut disk, _, _) = Disk::open(folder.path(), 7).expect("a good folder");
+    let snapshot = Snapshot {
+        index: 8,
+        term: 5,
+        ..Snapshot::default()
+    };
+    disk.compact(&snapshot).expect("space");
+    if crash {
+        fs::write(log(folder.path()), old).expect("space");
+    }
+    assert_eq!(load(folder.path()).entries, []);
+}
+
 /// The process dies after a snapshot was moved into place and before the log was: entries that the
 /// snapshot includes are dropped.
 #[test]
