Listen while processes are still being found before a domain is taken

Cause: an entry takes a domain 450 ms after the data centre is heard, unless its dispatcher is heard too. With 213 links that open at once that takes longer, and entries of the returning data centre took about 100 domains of the others from dispatchers that were alive.

An entry now listens until no process was found for 450 ms that has run for some time, 4.5 s at most. A dispatcher that gives a domain up to one with more data centres waits for the same, or the runs there could end with their lease in between. A data centre whose workers have just been asked in vain is tried 3 s later.

Small deployments: all are heard within tens of ms, so the wait is as long as it was. After a loss of all power nothing changes, as those that have just started don't count.

--- a/crates/celerywinch_domains/src/domains.rs
+++ b/crates/celerywinch_domains/src/domains.rs
@@ -15,6 +15,9 @@
 /// that started at the same moment have come by then, and it is known who is ready.
 /// With several dispatchers it applies only once all entries that are heard are ready, or a few of them would take most shards.
 const LISTEN_ANEW: Duration = Duration::from_millis(200);
+/// Among many processes some are heard later than `LISTEN`, as when the links to all of them open at once. While they are still
+/// being found, holders may be among those to come; this is waited for at most so long.
+const LISTEN_MOST: Duration = Duration::from_millis(4_500);
 /// After a worker has shown that another process took over, this one waits for that process's
 /// heartbeat, which may come over a link that is still being opened.
 const OUTBID_WAIT: Duration = Duration::from_millis(250);
@@ -70,6 +73,8 @@
     /// How far the epoch leaps the next time that workers know a higher one.
     leap: u64,
     listens_from: Time,
+    /// When a process was heard last that was not heard before, and had run for some time.
+    found: Time,
     /// Since when a process of each data centre is heard without a break.
     heard: BTreeMap<DataCentreId, Time>,
     /// Since when no process of a data centre is heard.
@@ -93,6 +98,7 @@
             top: Fence::new(epoch, 0),
             leap: EPOCH_LEAP,
             listens_from: now,
+            found: Time::default(),
             heard: BTreeMap::new(),
             silent: BTreeMap::new(),
             trials: BTreeMap::new(),
@@ -139,6 +145,11 @@
         self.me.stage = stage;
     }
 
+    /// A process is heard, for the first time or after a silence, that has run for some time: it may hold domains.
+    pub fn found(&mut self, now: Time) {
+        self.found = now;
+    }
+
     /// A heartbeat told of a fencing token.
     pub fn observe(&mut self, fence: Fence) {
         self.top = self.top.max(fence);
@@ -244,18 +255,27 @@
         let shard = domain.shard;
         match (self.held.get(&domain).copied(), other) {
             // Several dispatch, as after a cut: one queue over all workers of a shard serves callers
-            // best, and all agree who goes on with it.
-            (Some(_), _) if survey.has_senior(shard, &self.standing()) => self.resign(domain, out),
+            // best, and all agree who goes on with it. That one takes the domain over once it has heard all others,
+            // and what runs here would end if nobody did so before its lease is over.
+            (Some(_), _) if survey.has_senior(shard, &self.standing()) => {
+                if self.hears_all(now, peers) {
+                    self.resign(domain, out);
+                }
+            }
             // The other resigns, but workers may have seen its token.
             (Some(mine), Some(other)) if other > mine => {
                 self.resign(domain, out);
                 self.acquire(domain, out);
             }
-            (Some(_), _) if self.lost(now, domain.dc, peers, reached) => self.resign(domain, out),
+            (Some(_), _) if self.lost(now, domain.dc, peers, reached) => {
+                // Its workers were asked just now.
+                self.trials.insert(domain.dc, now);
+                self.resign(domain, out);
+            }
             (Some(_), _) | (None, Some(_)) => {}
             (None, None) => {
                 let listen = self.listen(now, peers);
-                let settled = !self.unsettled && now.since(self.listens_from) >= listen;
+                let settled = !self.unsettled && self.has_listened(now, self.listens_from, listen);
                 let first = settled && survey.is_first(shard, &self.standing());
                 let may = first && connected(now, peers);
                 if may && self.may_take(now, domain.dc, listen) {
@@ -288,6 +308,21 @@
         }
     }
 
+    /// Whether this entry has listened since some moment until no more processes were found.
+    fn has_listened(&self, now: Time, since: Time, listen: Duration) -> bool {
+        let span = now.since(since);
+        let finds = listen == LISTEN && now.since(self.found) < LISTEN && span < LISTEN_MOST;
+        span >= listen && !finds
+    }
+
+    /// Whether all data centres that are heard were listened to.
+    fn hears_all(&self, now: Time, peers: &Peers) -> bool {
+        let listen = self.listen(now, peers);
+        let others = self.heard.iter().filter(|(dc, _)| **dc != self.me.dc);
+        let mut others = others.map(|(_, since)| *since);
+        listen == LISTEN_ANEW || others.all(|since| self.has_listened(now, since, listen))
+    }
+
     /// Whether the workers of a data centre can be reached, as far as its processes show. Across a
     /// cut they cannot, and its own entries dispatch there.
     fn hears(&self, now: Time, dc: DataCentreId, peers: &Peers) -> bool {
@@ -309,12 +344,12 @@
         if let Some(since) = self.heard.get(&dc) {
             // As a cut heals, its processes are heard one after the other; the one that dispatches
             // there may be the last.
-            return dc == self.me.dc || now.since(*since) >= listen;
+            return dc == self.me.dc || self.has_listened(now, *since, listen);
         }
         // A cut that is healing shows its data centres one after the other.
         let settled = self.heard.iter();
-        let settled =
-            settled.filter(|(dc, since)| **dc == self.me.dc || now.since(**since) >= listen);
+        let settled = settled
+            .filter(|(dc, since)| **dc == self.me.dc || self.has_listened(now, **since, listen));
         if settled.count() * 2 <= self.dcs.len() {
             return false;
         }
--- a/crates/celerywinch_domains/src/peers.rs
+++ b/crates/celerywinch_domains/src/peers.rs
@@ -45,6 +45,12 @@
         !self.refused && now.since(self.heard) <= self.window && !self.probed.is_some_and(silent)
     }
 
+    /// Whether it had just started when it was heard last.
+    #[must_use]
+    pub fn is_new(&self) -> bool {
+        self.beat.sent < NEW
+    }
+
     /// Whether its heartbeats come often enough that a silence of a moment tells something.
     #[must_use]
     pub fn is_close(&self) -> bool {
@@ -131,7 +137,7 @@
     #[must_use]
     pub fn all_new(&self, now: Time) -> bool {
         let mut alive = self.alive(now).peekable();
-        alive.peek().is_some() && alive.all(|(_, view)| view.beat.sent < NEW)
+        alive.peek().is_some() && alive.all(|(_, view)| view.is_new())
     }
 
     /// Whether at least one entry is alive, and all entries that are alive are ready.
--- a/crates/celerywinch_member/src/member.rs
+++ b/crates/celerywinch_member/src/member.rs
@@ -504,6 +504,9 @@
 
     fn found(&mut self, now: Time, peer: InstanceId, out: &mut Vec<Output>) {
         self.stale = true;
+        if self.peers.get(peer).is_some_and(|view| !view.is_new()) {
+            self.domains.found(now);
+        }
         out.push(Output::Heard(peer));
         self.send_beat(now, peer, out);
         // What it handed in while it was taken for lost was not taken.
