Take changes of dispatchers up together

Cause: each change is told to all, and each of the 259 others answered it with a heartbeat at once, compared all processes and domains (260 by 320), and gave its origin all holders anew. The work of a process per second rose with the product of changes and processes, both of which rise with the fleet, on an eighth of a core.

Changes that are read together are taken up at the next flush, which comes before the process waits again; only those dispatchers are answered that callers' jobs go to. Among few processes these are all, as before.

Before each was answered, and compared at once.

--- a/crates/celerywinch_bench/src/members/world.rs
+++ b/crates/celerywinch_bench/src/members/world.rs
@@ -405,6 +405,7 @@
             _ => return,
         };
         self.input(index, input);
+        self.input(index, Input::Flush);
     }
 
     /// The number of a process is drawn: that of a later one may be lower.
--- a/crates/celerywinch_fleet/src/core.rs
+++ b/crates/celerywinch_fleet/src/core.rs
@@ -329,7 +329,7 @@
                         };
                         self.take(msg);
                     }
-                    if self.member.has_arrivals() {
+                    if self.member.needs_flush() {
                         self.input(self.clock.now(), Input::Flush);
                     }
                 }
--- a/crates/celerywinch_member/src/beats.rs
+++ b/crates/celerywinch_member/src/beats.rs
@@ -85,6 +85,12 @@
         }
         let all: BTreeSet<_> = best.values().map(|(instance, _)| *instance).collect();
         self.choose_dispatchers(now, &all, out);
+        // A new dispatcher is told first that it is heard, or it could not start what is handed to it.
+        for peer in std::mem::take(&mut self.changed) {
+            if self.hands_to(peer) {
+                self.send_beat(now, peer, out);
+            }
+        }
         let holders = best
             .into_iter()
             .map(|(domain, (instance, holding))| Holder {
--- a/crates/celerywinch_member/src/member.rs
+++ b/crates/celerywinch_member/src/member.rs
@@ -163,6 +163,8 @@
     own: VecDeque<WorkMsg>,
     /// Jobs that were submitted since the last flush.
     arrivals: Vec<(CallerId, NewJob)>,
+    /// Processes that hold other domains since the last flush.
+    pub(crate) changed: BTreeSet<InstanceId>,
 }
 
 impl Member {
@@ -204,6 +206,7 @@
             careful: BTreeSet::new(),
             own: VecDeque::new(),
             arrivals: Vec::new(),
+            changed: BTreeSet::new(),
             config,
         }
     }
@@ -220,10 +223,10 @@
         self.origin.open_jobs() + self.arrivals.len()
     }
 
-    /// Whether a job waits for the next flush.
+    /// Whether something waits for the next flush.
     #[must_use]
-    pub fn has_arrivals(&self) -> bool {
-        !self.arrivals.is_empty()
+    pub fn needs_flush(&self) -> bool {
+        !self.arrivals.is_empty() || !self.changed.is_empty()
     }
 
     /// Whether callers should be sent here: it knows the configuration, does not leave, and there is a
@@ -319,7 +322,14 @@
     /// A request that arrived on a connection which has broken since is read together with the break. Its caller
     /// sends the job again at once, to another entry: handed in here first, it would run beside that until the
     /// worker has carried out the stop.
+    ///
+    /// Before that, changes of who dispatches are taken up, once for all that were heard of together: a data centre that
+    /// is cut off or heard again has hundreds, each of which takes a look at all processes and domains.
     fn flush(&mut self, now: Time, out: &mut Vec<Output>) {
+        if !self.changed.is_empty() {
+            self.compare_domains(now, out);
+            self.update_holders(now, out);
+        }
         for (caller, job) in std::mem::take(&mut self.arrivals) {
             self.origin_input(now, OriginInput::Submit(caller, job), out);
         }
@@ -434,12 +444,9 @@
         }
         self.adopt_evacuations(now, &evacuations, out);
         self.take_echo(now, from, echo, out);
-        // A hand-over is taken up at once, and not with the next tick. The new dispatcher is told first
-        // that it is heard, or it could not start what is handed to it.
+        // A hand-over is taken up with the next flush, and not with the next tick.
         if held_before.is_none_or(|held| held != holdings) {
-            self.send_beat(now, from.instance, out);
-            self.compare_domains(now, out);
-            self.update_holders(now, out);
+            self.changed.insert(from.instance);
         } else {
             self.update_loads(now, from.instance, loads, out);
             // The first frequent heartbeat of a process that was asked for them is answered at once: it
--- a/crates/celerywinch_member/tests/arrivals.rs
+++ b/crates/celerywinch_member/tests/arrivals.rs
@@ -73,7 +73,7 @@
     let mut member = member();
     let mut out = Vec::new();
     member.handle(Time(1), Input::Submit(CALLER, job()), &mut out);
-    assert!(member.has_arrivals() && member.is_busy());
+    assert!(member.needs_flush() && member.is_busy());
     if case.gone {
         member.handle(Time(2), Input::CallerGone(CALLER), &mut out);
     }
