Let only keepers tell contacts

Where many links open at once, as a cut heals, each process told each other one of all: 260 lists of 260 contacts to each process, bytes by the cube of their number in sum, 0.3 MB to each entry within a second, on links of 3 MB/s.

Every process is found by keepers, at the start and later: the settings name some, and keepers tell all of each one that is new. Lists of other processes added nothing but bytes. Others that know a process call it by themselves, also where all keepers are out of reach.

--- a/crates/celerywinch_fleet/src/core/members.rs
+++ b/crates/celerywinch_fleet/src/core/members.rs
@@ -64,7 +64,12 @@
         }
     }
 
+    /// Tells a process of all others. Only keepers do so, by which every process is found: from each to each, the lists
+    /// would take bytes by the cube of the number of processes where many links open at once.
     fn send_contacts(&self, to: InstanceId) {
+        if self.config.part != Part::Keeper {
+            return;
+        }
         let peers = self.member.peers().all();
         let contacts = peers.map(|(instance, view)| Contact {
             instance,
