--- a/crates/celerywinch_registry/src/lib.rs
+++ b/crates/celerywinch_registry/src/lib.rs
@@ -2,9 +2,9 @@
 //! which the highest is held, and the set of evacuated data centres with a revision.
 //!
 //! [`Registry`] is a state machine without clock, socket or disk, like the log under it. The host
-//! carries out its outputs as the log wants it, and guarantees that a document was checked before it
-//! is proposed. A read goes through the log as well: what it answers was the newest at some moment
-//! after it was asked, also where the keeper was frozen or cut off meanwhile.
+//! carries out its outputs as those of the log, and guarantees that a document was checked before it
+//! is proposed. A read is confirmed by a majority of the keepers: what it answers was the newest at some
+//! moment after it was asked, also where the keeper was frozen or cut off meanwhile.
 
 mod registry;
 
