--- a/crates/celerywinch_fleet/src/core/members.rs
+++ b/crates/celerywinch_fleet/src/core/members.rs
@@ -64,16 +64,11 @@
         }
     }
 
-    /// Tells a process of all others. To one that was there before only keepers do so: from each to each, the lists would
-    /// take bytes by the cube of the number of processes where all links to a data centre open anew. One that has just started
-    /// is told by all, or it would divide the workers among the few that it knows.
     fn send_contacts(&self, to: InstanceId) {
-        let peers = self.member.peers();
-        let was_there = peers.get(to).is_some_and(|view| !view.is_new());
-        if was_there && self.config.part != Part::Keeper {
+        if !self.member.tells_contacts(to) {
             return;
         }
-        let peers = peers.all();
+        let peers = self.member.peers().all();
         let contacts = peers.map(|(instance, view)| Contact {
             instance,
             part: view.beat.part,
--- a/crates/celerywinch_member/src/member.rs
+++ b/crates/celerywinch_member/src/member.rs
@@ -220,6 +220,17 @@
         &self.peers
     }
 
+    /// Whether a process is told of all others as a link to it opens.
+    ///
+    /// One that was there before is told by keepers only: from each to each, the lists would take bytes by the cube of the
+    /// number of processes where all links to a data centre open anew. One that has just started is told by all, or it would
+    /// divide the workers among the few that it knows.
+    #[must_use]
+    pub fn tells_contacts(&self, peer: InstanceId) -> bool {
+        let was_there = self.peers.get(peer).is_some_and(|view| !view.is_new());
+        self.config.part == Part::Keeper || !was_there
+    }
+
     /// How many jobs of callers are open.
     #[must_use]
     pub fn open_jobs(&self) -> usize {
--- /dev/null
+++ b/crates/celerywinch_member/tests/contacts.rs
@@ -0,0 +1,70 @@
+//! Who tells whom of all other processes.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use celerywinch_member::{Input, Member, MemberConfig};
+use celerywinch_pool::PoolConfig;
+use celerywinch_types::{
+    Beat, DataCentreId, Evacuations, Fence, Incarnation, InstanceId, Part, Process, Stage, Time,
+    WallMs,
+};
+use rstest::rstest;
+
+const DC: DataCentreId = DataCentreId(0);
+const PEER: InstanceId = InstanceId(2);
+const NOW: Time = Time(10_000_000);
+
+struct Case {
+    /// What the process under test is.
+    part: Part,
+    /// How long the other had run when it was heard, in ms; none if it was not.
+    ran: Option<u64>,
+    told: bool,
+}
+
+/// Guards against workers that are divided among a few after a restart of all, as entries know few others then; and against lists
+/// that fill the links of a data centre as it is heard again.
+#[rstest]
+#[case::unknown(Case { part: Part::Entry, ran: None, told: true })]
+#[case::just_started(Case { part: Part::Entry, ran: Some(200), told: true })]
+#[case::there_before(Case { part: Part::Entry, ran: Some(30_000), told: false })]
+#[case::by_a_keeper(Case { part: Part::Keeper, ran: Some(30_000), told: true })]
+fn who_is_told_of_all_others(#[case] case: Case) {
+    let me = Process {
+        instance: InstanceId(1),
+        incarnation: Incarnation(1),
+    };
+    let config = MemberConfig {
+        me,
+        part: case.part,
+        dc: DC,
+        dcs: BTreeSet::from([DC]),
+        shard: 80,
+        pool: PoolConfig::default(),
+    };
+    let mut member = Member::new(config, NOW, WallMs(1_700_000_000_000));
+    if let Some(ran) = case.ran {
+        let beat = Beat {
+            part: Part::Entry,
+            dc: DC,
+            stage: Stage::Ready,
+            holdings: Vec::new(),
+            fence: Fence(0),
+            version: 1,
+            evacuations: Evacuations::default(),
+            shards: 1,
+            sent: Time(0) + Duration::from_millis(ran),
+            echo: None,
+            every: 100,
+            wants: false,
+            probe: false,
+        };
+        let peer = Process {
+            instance: PEER,
+            incarnation: Incarnation(7),
+        };
+        member.handle(NOW, Input::Beat(peer, beat), &mut Vec::new());
+    }
+    assert_eq!(member.tells_contacts(PEER), case.told);
+}
