--- a/crates/celerywinch_store/src/lib.rs
+++ b/crates/celerywinch_store/src/lib.rs
@@ -1,7 +1,7 @@
 //! A replicated log with majority commit, kept on the disks of a few instances.
 //!
-//! [`Raft`] is the state machine: it has no clock, socket or disk. The host carries out its
-//! [`Output`]s strictly in order; what must last before a message may leave comes before it.
+//! [`Raft`] is the state machine: it has no clock, socket or disk. The host carries out the
+//! writes among its [`Output`]s in order and reports them; a message that rests on a write comes out after that.
 //! [`Disk`] is the log file and the snapshot of one keeper.
 //!
 //! The protocol is Raft with pre-vote, check-quorum, snapshots, and changes of the group by one
