--- a/crates/celerywinch/src/commands/soak.rs
+++ b/crates/celerywinch/src/commands/soak.rs
@@ -1,6 +1,6 @@
 //! `celerywinch soak`: randomised simulations of the state machines under faults.
 
-use celerywinch_bench::members;
+use celerywinch_bench::members::{self, Switch, Switches};
 use celerywinch_bench::soak::{SoakOptions, run as soak, run_store};
 use celerywinch_types::{DisabledMechanisms, JobId};
 
@@ -17,41 +17,12 @@
     \x20      celerywinch soak --members [--seed N] [--runs M] [--held]\n\
     \x20                                 [--congested] [--refused] [--drift] [--many]\n\
     \x20                                 [--reborn] [--shrinking] [--crashing]\n\
-    \x20                                 [--evacuated] [--resets]\n\
+    \x20                                 [--evacuated] [--resets] [--mixed]\n\
     \x20                                 [--without NAMES]\n\n\
     Drives the state machines of the entries with a virtual clock under lost, duplicated, delayed and\n\
     reordered messages, crashes, freezes, partitions and lost state. Runs are deterministic per seed.\n\
     The last line is `steps=… starts=… violations=…`; exits with 1 on a violation.";
 
-/// Duration of the load in a run of members, in ms.
-const MEMBERS_LOAD_MS: u64 = 15_000;
-/// Interval between two faults in a run of members, in ms; chosen by the seed modulo 4.
-const MEMBERS_FAULT_INTERVALS_MS: [u64; 4] = [900, 500, 300, 150];
-/// Maximum number of workers per dispatcher, of 48 workers: either one dispatcher has all of them, or several
-/// dispatchers pass on tasks for which they have no capacity. Chosen by the seed modulo 3.
-const MEMBERS_SHARD_SIZES: [usize; 3] = [80, 8, 16];
-
-/// Number of entries in a run of members. With few entries, all exchange frequent heartbeats.
-const FEW_ENTRIES: u32 = 7;
-/// Number of entries with `--many`: only entries that work with each other exchange frequent heartbeats.
-const MANY_ENTRIES: u32 = 24;
-/// Maximum number of workers per dispatcher with `--many`: there are eight or four dispatchers, of which an
-/// origin uses at most six.
-const MANY_SHARD_SIZES: [usize; 3] = [6, 6, 12];
-/// Duration of the load with `--congested`, in ms: two periods of 4 s of normal load and a lull, then 4 s of
-/// normal load.
-const CONGESTED_LOAD_MS: u64 = 64_000;
-const LULL_PERIOD_MS: u64 = 30_000;
-/// During a lull, most workers are idle for longer than the 20 s after which a silent worker is removed.
-const LULL_DURATION_MS: u64 = 26_000;
-/// Time from the start of a lull without faults, in ms: a fault causes calls to workers, so they would not stay idle.
-const LULL_FAULT_FREE_MS: u64 = 22_000;
-/// Load during a lull as a fraction of normal load; chosen by the seed.
-const LULL_LOAD_FACTORS: [f64; 4] = [0.05, 0.4, 0.1, 0.2];
-
-/// Timeout of callers in runs where messages are delayed for seconds, in ms; the users' callers wait up to 8 s.
-const LONG_TIMEOUT_MS: u32 = 8_000;
-
 /// Default number of events of a run.
 const DEFAULT_STEPS: u64 = 200_000;
 
@@ -76,55 +47,14 @@
         "with --members: number of consecutive seeds to run; default: 1",
         "N",
     );
+    for switch in Switch::ALL {
+        let help = format!("with --members: {}", switch.help());
+        options.optflag("", switch.name(), &help);
+    }
     options.optflag(
         "",
-        "held",
-        "with --members: also partition many entries at once and delay their messages",
-    );
-    options.optflag(
-        "",
-        "congested",
-        "with --members: also congest the paths to members, in runs of 60 s with spells of low load",
-    );
-    options.optflag(
-        "",
-        "refused",
-        "with --members: also have live members and workers refuse connections",
-    );
-    options.optflag(
-        "",
-        "drift",
-        "with --members: run the steady clocks of workers up to 2% slow",
-    );
-    options.optflag(
-        "",
-        "reborn",
-        "with --members: also have workers leave, and restart under the same ID",
-    );
-    options.optflag(
-        "",
-        "shrinking",
-        "with --members: at times reduce the capacity of workers, which then accept tasks regardless of it",
-    );
-    options.optflag(
-        "",
-        "crashing",
-        "with --members: have tasks of some jobs crash their workers",
-    );
-    options.optflag(
-        "",
-        "evacuated",
-        "with --members: start and end evacuations of data centres",
-    );
-    options.optflag(
-        "",
-        "resets",
-        "with --members: reset many connections at once; callers retry at once",
-    );
-    options.optflag(
-        "",
-        "many",
-        "with --members: run so many entries that most exchange heartbeats rarely",
+        "mixed",
+        "with --members: draw three to five of these faults for each seed, and print them",
     );
     options.optopt(
         "",
@@ -147,20 +77,19 @@
     if matches.opt_present("members") {
         let runs = parse_number(&matches, "runs")?.unwrap_or(1);
         let job = parse_number(&matches, "follow-job")?;
-        let flags = FaultFlags {
-            held: matches.opt_present("held"),
-            congested: matches.opt_present("congested"),
-            refused: matches.opt_present("refused"),
-            drift: matches.opt_present("drift"),
-            reborn: matches.opt_present("reborn"),
-            shrinking: matches.opt_present("shrinking"),
-            crashing: matches.opt_present("crashing"),
-            evacuated: matches.opt_present("evacuated"),
-            resets: matches.opt_present("resets"),
-            many: matches.opt_present("many"),
+        let chosen = Switch::ALL.into_iter();
+        let chosen = chosen.filter(|switch| matches.opt_present(switch.name()));
+        let mix = if matches.opt_present("mixed") {
+            Mix::Drawn
+        } else {
+            Mix::Chosen(chosen.collect())
+        };
+        let soak = MembersSoak {
+            mix,
             disabled: matches.opt_str("without").unwrap_or_default().parse()?,
+            follow: job.map(JobId),
         };
-        return Ok(run_members(seed, runs, flags, job));
+        return Ok(soak.run(seed, runs));
     }
     let store = matches.opt_present("store");
     let options = SoakOptions {
@@ -204,109 +133,52 @@
     })
 }
 
-/// Faults and conditions selected by flags, in addition to the faults of every run.
-#[derive(Clone, Copy, Debug)]
-struct FaultFlags {
-    held: bool,
-    congested: bool,
-    refused: bool,
-    drift: bool,
-    reborn: bool,
-    shrinking: bool,
-    crashing: bool,
-    evacuated: bool,
-    resets: bool,
-    many: bool,
-    disabled: DisabledMechanisms,
-}
-
-/// Returns the job classes of the reference service. Where messages are delayed or lost for seconds, the callers get a longer
-/// timeout, as otherwise all callers would have given up before the messages arrive.
-fn job_classes(flags: FaultFlags) -> Vec<members::ClassPlan> {
-    let mut classes = members::reference_classes();
-    if flags.held || flags.congested || flags.refused {
-        classes
-            .iter_mut()
-            .for_each(|class| class.timeout_ms = LONG_TIMEOUT_MS);
-    }
-    classes
+/// How the faults of a run are chosen.
+#[derive(Debug)]
+enum Mix {
+    /// By the options, the same for all seeds.
+    Chosen(Switches),
+    /// By each seed.
+    Drawn,
 }
 
-fn members_options(seed: u64, flags: FaultFlags, follow: Option<u64>) -> members::MembersOptions {
-    let interval_ms =
-        MEMBERS_FAULT_INTERVALS_MS[(seed % MEMBERS_FAULT_INTERVALS_MS.len() as u64) as usize];
-    let lull = members::Lull {
-        period_ms: LULL_PERIOD_MS,
-        length_ms: LULL_DURATION_MS,
-        calm_ms: LULL_FAULT_FREE_MS,
-        factor: LULL_LOAD_FACTORS[(seed / 4 % LULL_LOAD_FACTORS.len() as u64) as usize],
-    };
-    let shard_sizes = if flags.many {
-        MANY_SHARD_SIZES
-    } else {
-        MEMBERS_SHARD_SIZES
-    };
-    members::MembersOptions {
-        seed,
-        dcs: 3,
-        entries: if flags.many {
-            MANY_ENTRIES
-        } else {
-            FEW_ENTRIES
-        },
-        workers: 48,
-        shard_size: shard_sizes[(seed % shard_sizes.len() as u64) as usize],
-        disabled: flags.disabled,
-        link_rate: None,
-        load_ms: if flags.congested {
-            CONGESTED_LOAD_MS
-        } else {
-            MEMBERS_LOAD_MS
-        },
-        load: members::LoadPlan {
-            classes: job_classes(flags),
-            cpu: members::REFERENCE_CPU,
-            burst: None,
-            lull: flags.congested.then_some(lull),
-        },
-        unanswered: None,
-        faults: Some(members::FaultPlan {
-            interval_ms,
-            members: true,
-            workers: true,
-            clock_skew: seed % 5 >= 3,
-            partitioned: flags.held,
-            congested: flags.congested,
-            refused: flags.refused,
-            drift: flags.drift,
-            reused_names: flags.reborn,
-            shrinking: flags.shrinking,
-            crashing: flags.crashing,
-            evacuated: flags.evacuated,
-            resets: flags.resets,
-        }),
-        follow: follow.map(JobId),
-    }
+/// Runs of members with consecutive seeds.
+#[derive(Debug)]
+struct MembersSoak {
+    mix: Mix,
+    disabled: DisabledMechanisms,
+    follow: Option<JobId>,
 }
 
-fn run_members(seed: u64, runs: u64, flags: FaultFlags, follow: Option<u64>) -> ExitStatus {
-    let mut violated_runs = 0;
-    let mut starts = 0;
-    for seed in seed..seed + runs {
-        let report = members::run(members_options(seed, flags, follow));
-        starts += report.runs.0;
-        if !report.violations.is_empty() {
-            violated_runs += 1;
-            println!("Violations, seed {seed}: {}", report.violations.len());
-            for violation in &report.violations {
-                println!("  {violation:?}");
+impl MembersSoak {
+    fn run(&self, first_seed: u64, runs: u64) -> ExitStatus {
+        let mut violated_runs = 0;
+        let mut starts = 0;
+        for seed in first_seed..first_seed + runs {
+            let switches = match &self.mix {
+                Mix::Chosen(switches) => switches.clone(),
+                Mix::Drawn => Switches::draw(seed),
+            };
+            let report = members::run(members::MembersOptions {
+                disabled: self.disabled,
+                follow: self.follow,
+                ..switches.options(seed)
+            });
+            starts += report.runs.0;
+            if !report.violations.is_empty() {
+                violated_runs += 1;
+                let count = report.violations.len();
+                println!("Violations, seed {seed} with {switches}: {count}");
+                for violation in &report.violations {
+                    println!("  {violation:?}");
+                }
             }
         }
-    }
-    println!("runs={runs} starts={starts} violated={violated_runs}");
-    if violated_runs > 0 {
-        ExitStatus::Failure
-    } else {
-        ExitStatus::Success
+        println!("runs={runs} starts={starts} violated={violated_runs}");
+        if violated_runs > 0 {
+            ExitStatus::Failure
+        } else {
+            ExitStatus::Success
+        }
     }
 }
--- a/crates/celerywinch_bench/src/members/mod.rs
+++ b/crates/celerywinch_bench/src/members/mod.rs
@@ -13,6 +13,7 @@
 mod refusals;
 mod report;
 mod resets;
+mod switches;
 mod workers;
 mod world;
 
@@ -20,5 +21,6 @@
 pub use history::{Violation, overlaps};
 pub use links::ControlTraffic;
 pub use load::{ClassPlan, ClassStats, LoadPlan, Lull, REFERENCE_CPU, reference_classes};
+pub use switches::{Switch, Switches};
 pub use workers::UnansweredCalls;
 pub use world::{MembersOptions, MembersReport, run};
--- a/crates/celerywinch_member/tests/origins.rs
+++ b/crates/celerywinch_member/tests/origins.rs
@@ -8,8 +8,8 @@
 use celerywinch_types::{
     AnnouncementVersion, Crashes, DataCentreId, Echo, Evacuations, Fence, FleetHeartbeat, FleetMsg,
     Incarnation, InstanceId, JobId, PriorRuns, Process, ProcessKind, Resources, RunNumber, Session,
-    Stage, StepOrder, TaskOrder, Time, WallMs, WorkMsg, WorkerAnnouncement, WorkerClock,
-    WorkerStage,
+    Stage, StepOrder, SubmissionNumber, TaskOrder, Time, WallMs, WorkMsg, WorkerAnnouncement,
+    WorkerClock, WorkerStage,
 };
 use rstest::rstest;
 
@@ -86,8 +86,8 @@
             crashes: Crashes::default(),
             run: RunNumber(1),
             prior_runs: PriorRuns::None,
-            submission: 1,
-            first_submission: 1,
+            submission: SubmissionNumber::FIRST,
+            first_submission: SubmissionNumber::FIRST,
         }],
     }
 }
--- a/crates/celerywinch_origin/src/event.rs
+++ b/crates/celerywinch_origin/src/event.rs
@@ -31,6 +31,15 @@
         /// Free places at the dispatcher, as last reported less later submissions.
         free: u32,
     },
+    /// Tasks were submitted to their dispatcher again, as the first submission may have been lost.
+    Resubmitted {
+        /// The job.
+        job: JobId,
+        /// The dispatcher.
+        to: InstanceId,
+        /// Number of tasks.
+        tasks: usize,
+    },
     /// A dispatcher with open tasks of the job was lost.
     DispatcherLost {
         /// The job.
@@ -64,7 +73,9 @@
             Self::Submitted { .. } => true,
             Self::HandedIn { unsure, .. } => *unsure == 0,
             Self::Answered { end, .. } => *end == JobEnd::Completed,
-            Self::DispatcherLost { .. } | Self::CallerLeft { .. } => false,
+            Self::Resubmitted { .. } | Self::DispatcherLost { .. } | Self::CallerLeft { .. } => {
+                false
+            }
         }
     }
 }
--- a/crates/celerywinch_origin/src/job.rs
+++ b/crates/celerywinch_origin/src/job.rs
@@ -5,7 +5,7 @@
 
 use celerywinch_types::{
     Crashes, Domain, InstanceId, JobId, JobPlan, PriorRuns, Queue, RunNumber, Session, StepOrder,
-    TaskOrder, Time,
+    SubmissionNumber, TaskOrder, Time,
 };
 
 use crate::CallerId;
@@ -44,23 +44,41 @@
     /// Crashes of workers while they ran it.
     pub(crate) crashes: Crashes,
     pub(crate) run: RunNumber,
-    /// Number of its last submission.
-    pub(crate) submission: u32,
-    /// Number of its first submission to its current dispatcher.
-    pub(crate) first_submission: u32,
+    /// Its last submission, and the first one to the same dispatcher; none before the first.
+    pub(crate) submitted: Option<Submitted>,
+}
+
+/// The submissions of a task to its current dispatcher.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Submitted {
+    pub(crate) first: SubmissionNumber,
+    pub(crate) last: SubmissionNumber,
 }
 
 impl Task {
-    /// Returns the part of the submission that concerns this task.
-    pub(crate) fn order(&self, index: u16, prior_runs: PriorRuns) -> TaskOrder {
+    /// Records the submission with this number, and returns the part of it that concerns this task. `again` states that
+    /// the same dispatcher should have the task already.
+    pub(crate) fn submit(
+        &mut self,
+        index: u16,
+        prior_runs: PriorRuns,
+        number: SubmissionNumber,
+        again: bool,
+    ) -> TaskOrder {
+        let first = self.submitted.filter(|_| again);
+        let first = first.map_or(number, |submitted| submitted.first);
+        self.submitted = Some(Submitted {
+            first,
+            last: number,
+        });
         TaskOrder {
             index,
             failures: self.failures,
             crashes: self.crashes,
             run: self.run,
             prior_runs,
-            submission: self.submission,
-            first_submission: self.first_submission,
+            submission: number,
+            first_submission: first,
         }
     }
 }
@@ -97,8 +115,7 @@
                     failures: 0,
                     crashes: Crashes::default(),
                     run: first_run,
-                    submission: 0,
-                    first_submission: 0,
+                    submitted: None,
                 };
                 tasks.insert((number, index), task);
             }
@@ -135,6 +152,19 @@
                 .any(|task| task.state != TaskState::Pending)
     }
 
+    /// Whether the refusal of a submission by a dispatcher shows that nothing of the job has run: all of its tasks were
+    /// part of that submission, or are with no dispatcher. A dispatcher does not know of the tasks that others have.
+    pub(crate) fn is_refused_by(&self, dispatcher: InstanceId, number: SubmissionNumber) -> bool {
+        let refused = |task: &Task| match &task.state {
+            TaskState::Pending => true,
+            TaskState::Submitted(at, _) => {
+                *at == dispatcher && task.submitted.is_some_and(|known| known.last == number)
+            }
+            TaskState::MaybeRunning(_) | TaskState::Done => false,
+        };
+        !self.maybe_ran && self.tasks.values().all(refused)
+    }
+
     /// Returns the steps that have tasks to submit and whose preceding steps are done.
     pub(crate) fn open_steps(&self) -> Vec<u16> {
         let open = |step: &u16| {
--- a/crates/celerywinch_origin/src/lost.rs
+++ b/crates/celerywinch_origin/src/lost.rs
@@ -1,6 +1,6 @@
 //! Handling of lost dispatchers, and of lost messages to and from dispatchers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use celerywinch_types::{InstanceId, JobEnd, JobId, PriorRuns, TaskId, Time, WorkMsg};
@@ -24,6 +24,13 @@
 }
 
 impl Withdrawals {
+    /// Withdraws one task.
+    pub(crate) fn of(dispatcher: InstanceId, task: TaskId) -> Self {
+        Self {
+            tasks: BTreeMap::from([(dispatcher, vec![task])]),
+        }
+    }
+
     /// Records a task that is not submitted to its earlier dispatcher again.
     pub(crate) fn add(&mut self, run: &mut PossibleRun, job: JobId, step: u16, index: u16) {
         if let Some(at) = run.dispatcher.take() {
@@ -31,22 +38,95 @@
             self.tasks.entry(at).or_default().push(task);
         }
     }
+}
+
+/// How long a message that takes tasks back is sent again after resets of its link. A submission that was sent before it
+/// arrives within this time or not at all, as a link that does not answer is replaced within a second.
+const CANCEL_RETENTION: Duration = Duration::from_secs(3);
+
+/// A message that took tasks back from a dispatcher.
+#[derive(Clone, Debug)]
+struct SentCancel {
+    sent_at: Time,
+    dispatcher: InstanceId,
+    msg: WorkMsg,
+}
+
+/// The messages that took tasks back lately.
+///
+/// A reset of the link may lose such a message while an earlier submission is still on its way. The dispatcher would run
+/// those tasks although no caller waits for them.
+#[derive(Debug, Default)]
+pub(crate) struct SentCancels {
+    sent: VecDeque<SentCancel>,
+}
+
+impl SentCancels {
+    fn record(&mut self, now: Time, dispatcher: InstanceId, msg: WorkMsg) {
+        self.sent.push_back(SentCancel {
+            sent_at: now,
+            dispatcher,
+            msg,
+        });
+    }
+
+    /// Returns the messages to a dispatcher that may have been lost.
+    fn to(&self, now: Time, dispatcher: InstanceId) -> impl Iterator<Item = WorkMsg> {
+        let recent = move |sent: &&SentCancel| {
+            sent.dispatcher == dispatcher && now.since(sent.sent_at) <= CANCEL_RETENTION
+        };
+        self.sent.iter().filter(recent).map(|sent| sent.msg.clone())
+    }
 
-    /// Sends the `Drop` messages; `last_submission` is the number of the last submission.
-    pub(crate) fn send(self, last_submission: u32, out: &mut Vec<Output>) {
-        for (at, tasks) in self.tasks {
-            out.push(Output::Send(
-                at,
-                WorkMsg::Drop {
-                    tasks,
-                    last_submission,
-                },
-            ));
+    /// Removes the messages that are not sent again any more.
+    pub(crate) fn expire(&mut self, now: Time) {
+        let expired = |sent: &SentCancel| now.since(sent.sent_at) > CANCEL_RETENTION;
+        while self.sent.front().is_some_and(expired) {
+            self.sent.pop_front();
         }
     }
 }
 
 impl Origin {
+    /// Cancels all tasks of a job at a dispatcher.
+    pub(crate) fn cancel(
+        &mut self,
+        now: Time,
+        dispatcher: InstanceId,
+        job: JobId,
+        out: &mut Vec<Output>,
+    ) {
+        let cancel = WorkMsg::Cancel {
+            job,
+            last_submission: self.last_submission,
+        };
+        self.take_back(now, dispatcher, cancel, out);
+    }
+
+    /// Has dispatchers drop the tasks that they may still have and must not start.
+    pub(crate) fn withdraw(&mut self, now: Time, withdrawals: Withdrawals, out: &mut Vec<Output>) {
+        let last_submission = self.last_submission;
+        for (dispatcher, tasks) in withdrawals.tasks {
+            let drop = WorkMsg::Drop {
+                tasks,
+                last_submission,
+            };
+            self.take_back(now, dispatcher, drop, out);
+        }
+    }
+
+    fn take_back(&mut self, now: Time, to: InstanceId, msg: WorkMsg, out: &mut Vec<Output>) {
+        self.sent_cancels.record(now, to, msg.clone());
+        out.push(Output::Send(to, msg));
+    }
+
+    /// Handles the reset of the link to a dispatcher: what was submitted and what was taken back may not have arrived.
+    pub(crate) fn link_reset(&mut self, now: Time, peer: InstanceId, out: &mut Vec<Output>) {
+        self.resubmit(now, peer, out);
+        let cancels = self.sent_cancels.to(now, peer);
+        out.extend(cancels.map(|msg| Output::Send(peer, msg)));
+    }
+
     /// Submits all tasks of a dispatcher to it again, since messages in either direction may have been lost. The
     /// dispatcher accepts only those that it does not have.
     pub(crate) fn resubmit(&mut self, now: Time, peer: InstanceId, out: &mut Vec<Output>) {
@@ -64,13 +144,17 @@
                 let tasks = job.tasks.range_mut((step, 0)..=(step, u16::MAX));
                 let resubmitted = tasks
                     .filter(|(_, t)| matches!(t.state, TaskState::Submitted(at, _) if at == peer));
-                self.last_submission += 1;
-                let submission = self.last_submission;
+                let number = self.last_submission.next();
+                self.last_submission = number;
                 let orders = resubmitted.map(|((_, index), task)| {
-                    task.submission = submission;
-                    task.order(*index, PriorRuns::Unknown)
+                    task.submit(*index, PriorRuns::Unknown, number, true)
                 });
-                let orders = orders.collect();
+                let orders: Vec<_> = orders.collect();
+                out.push(Output::Event(JobEvent::Resubmitted {
+                    job: job.id,
+                    to: peer,
+                    tasks: orders.len(),
+                }));
                 let mut order = job.order(now, step, orders);
                 order.session = session;
                 out.push(Output::Send(peer, WorkMsg::Submit(order)));
@@ -166,7 +250,7 @@
                 withdrawals.add(run, id, step, *index);
             }
         }
-        withdrawals.send(self.last_submission, out);
+        self.withdraw(now, withdrawals, out);
     }
 
     /// Makes tasks that can no longer be running pending, to be submitted like new ones.
@@ -184,6 +268,6 @@
                 task.state = TaskState::Pending;
             }
         }
-        withdrawals.send(self.last_submission, out);
+        self.withdraw(now, withdrawals, out);
     }
 }
--- a/crates/celerywinch_origin/src/origin.rs
+++ b/crates/celerywinch_origin/src/origin.rs
@@ -6,13 +6,13 @@
 
 use celerywinch_types::{
     DataCentreId, DisabledMechanisms, Domain, InstanceId, JobEnd, JobId, JobPlan, Mechanism,
-    OwnedDomain, PriorRuns, Queue, RunNumber, Session, TaskEnd, TaskReport, Time, WorkMsg, domain,
-    identifier,
+    OwnedDomain, PriorRuns, Queue, RunNumber, Session, SubmissionNumber, TaskEnd, TaskReport, Time,
+    WorkMsg, domain, identifier,
 };
 
 use crate::choice::{Choice, Request, choose};
 use crate::job::{Job, PossibleRun, TaskState};
-use crate::lost::{LOST_RUN_TIMEOUT, Withdrawals};
+use crate::lost::{LOST_RUN_TIMEOUT, SentCancels, Withdrawals};
 use crate::{Holder, JobEvent};
 
 /// How long a new job waits while no dispatcher is known. A handoff takes up to 500 ms, by which time most latency
@@ -95,7 +95,8 @@
     unserved_since: Option<Time>,
     /// Number of the last submission. It rises over all jobs, so that a job submitted again by its caller gets numbers
     /// of its own; else a late reply about the first one would be taken for its answer.
-    pub(crate) last_submission: u32,
+    pub(crate) last_submission: SubmissionNumber,
+    pub(crate) sent_cancels: SentCancels,
     /// How often each dispatcher was reported as lost.
     pub(crate) sessions: BTreeMap<InstanceId, Session>,
 }
@@ -114,7 +115,8 @@
             callers: BTreeMap::new(),
             pending: BTreeSet::new(),
             unserved_since: None,
-            last_submission: 0,
+            last_submission: SubmissionNumber::FIRST,
+            sent_cancels: SentCancels::default(),
             sessions: BTreeMap::new(),
         }
     }
@@ -163,7 +165,7 @@
             Input::Work(from, msg) => self.handle_work(now, from, msg, out),
             Input::Holders(holders) => self.set_holders(holders),
             Input::Loads(dispatcher, owned_domains) => self.set_loads(dispatcher, &owned_domains),
-            Input::LinkReset(peer) => self.resubmit(now, peer, out),
+            Input::LinkReset(peer) => self.link_reset(now, peer, out),
             Input::PeerLost(peer) => self.peer_lost(now, peer, out),
             Input::Paused => self.end_all(now, out),
             Input::Tick => self.tick(now, out),
@@ -242,25 +244,21 @@
         }
         let took = now.since(job.arrived).as_millis() as u32;
         out.push(Output::Event(JobEvent::CallerLeft { job: id, took }));
-        self.drop_job(id, out);
+        self.drop_job(now, id, out);
     }
 
     /// Removes a job and cancels its tasks at their dispatchers.
-    fn drop_job(&mut self, id: JobId, out: &mut Vec<Output>) -> Option<Job> {
+    fn drop_job(&mut self, now: Time, id: JobId, out: &mut Vec<Output>) -> Option<Job> {
         self.pending.remove(&id);
         let job = self.jobs.remove(&id)?;
         for dispatcher in job.dispatchers() {
-            let cancel = WorkMsg::Cancel {
-                job: id,
-                last_submission: self.last_submission,
-            };
-            out.push(Output::Send(dispatcher, cancel));
+            self.cancel(now, dispatcher, id, out);
         }
         Some(job)
     }
 
     pub(crate) fn answer(&mut self, now: Time, id: JobId, end: JobEnd, out: &mut Vec<Output>) {
-        let Some(job) = self.drop_job(id, out) else {
+        let Some(job) = self.drop_job(now, id, out) else {
             return;
         };
         out.push(Output::Event(JobEvent::Answered {
@@ -322,20 +320,17 @@
         let TaskState::Submitted(at, run) = task.state.clone() else {
             return;
         };
-        if at != from || (report.returns_task() && submission != task.submission) {
+        let is_latest = task.submitted.is_some_and(|known| known.last == submission);
+        if at != from || !(is_latest || report.covers_later_submissions()) {
             return;
         }
         match end {
             TaskEnd::Done => {
                 task.state = TaskState::Done;
-                if submission != task.submission {
+                if !is_latest {
                     // The result was delayed, and the dispatcher may have accepted the task again since. It would run
                     // it once more: the cancellation of a job does not go to dispatchers of completed tasks.
-                    let drop = WorkMsg::Drop {
-                        tasks: vec![id],
-                        last_submission: self.last_submission,
-                    };
-                    out.push(Output::Send(from, drop));
+                    self.withdraw(now, Withdrawals::of(from, id), out);
                 }
                 self.pending.insert(id.job);
                 self.finish_if_done(now, id.job, out);
@@ -346,9 +341,14 @@
             TaskEnd::GivenUp | TaskEnd::Superseded | TaskEnd::Unplaced => {
                 self.answer(now, id.job, JobEnd::Unsure, out);
             }
-            // The dispatcher does not know that a task of the job may have run elsewhere.
-            TaskEnd::Refused(_) if job.maybe_ran => self.answer(now, id.job, JobEnd::Unsure, out),
-            TaskEnd::Refused(later) => self.answer(now, id.job, JobEnd::Refused(later), out),
+            TaskEnd::Refused(later) => {
+                let end = if job.is_refused_by(from, submission) {
+                    JobEnd::Refused(later)
+                } else {
+                    JobEnd::Unsure
+                };
+                self.answer(now, id.job, end, out);
+            }
             TaskEnd::Full => {
                 task.state = TaskState::Pending;
                 if !job.full.contains(&from) {
@@ -368,7 +368,9 @@
             }
             TaskEnd::Undetermined => {
                 job.maybe_ran = true;
-                let resubmitted = task.submission != task.first_submission;
+                let resubmitted = task
+                    .submitted
+                    .is_some_and(|known| known.first != known.last);
                 let unchanged = run.clone().filter(|_| !resubmitted);
                 let owned = self.owned.get(&from).cloned().unwrap_or_default();
                 let run = unchanged.unwrap_or_else(|| {
@@ -404,6 +406,7 @@
     }
 
     fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.sent_cancels.expire(now);
         if self.holders.is_empty() {
             self.unserved_since.get_or_insert(now);
         } else {
@@ -521,7 +524,8 @@
         };
         let holder = choice.holder;
         let refusable = !job.may_have_started();
-        self.last_submission += 1;
+        let number = self.last_submission.next();
+        self.last_submission = number;
         let mut orders = Vec::new();
         let mut withdrawals = Withdrawals::default();
         for ((_, index), task) in job.tasks.range_mut((step, 0)..=(step, u16::MAX)) {
@@ -535,17 +539,14 @@
                     }
                     TaskState::Pending | TaskState::Submitted(..) | TaskState::Done => None,
                 };
-                task.submission = self.last_submission;
-                task.first_submission = self.last_submission;
                 let prior_runs = run.as_ref().map_or(PriorRuns::None, |run| run.prior_runs);
-                orders.push(task.order(*index, prior_runs));
+                orders.push(task.submit(*index, prior_runs, number, false));
                 task.state = TaskState::Submitted(holder.instance, run);
             }
         }
         if orders.is_empty() {
             return;
         }
-        withdrawals.send(self.last_submission, out);
         let count = orders.len();
         out.push(Output::Event(JobEvent::HandedIn {
             job: id,
@@ -563,6 +564,7 @@
         order.session = session.copied().unwrap_or_default();
         order.refusable = refusable;
         order.no_wait = choice.no_wait && !self.disabled.contains(Mechanism::Passing);
+        self.withdraw(now, withdrawals, out);
         out.push(Output::Send(holder.instance, WorkMsg::Submit(order)));
         // Counts the room as taken until the next heartbeat reports the load.
         let mut taken = u32::try_from(count).unwrap_or(u32::MAX);
--- a/crates/celerywinch_origin/tests/submissions.rs
+++ b/crates/celerywinch_origin/tests/submissions.rs
@@ -64,6 +64,7 @@
     sent: Vec<(InstanceId, StepOrder)>,
     dropped: Vec<(InstanceId, Vec<TaskId>)>,
     resyncs: Vec<WorkMsg>,
+    cancels: Vec<(InstanceId, WorkMsg)>,
     answers: Vec<JobEnd>,
 }
 
@@ -76,6 +77,7 @@
             sent: Vec::new(),
             dropped: Vec::new(),
             resyncs: Vec::new(),
+            cancels: Vec::new(),
             answers: Vec::new(),
         };
         let holders = (1..).zip(free_places);
@@ -94,6 +96,7 @@
                 Output::Send(to, WorkMsg::Submit(order)) => self.sent.push((to, order)),
                 Output::Send(to, WorkMsg::Drop { tasks, .. }) => self.dropped.push((to, tasks)),
                 Output::Send(_, msg @ WorkMsg::ResyncDone { .. }) => self.resyncs.push(msg),
+                Output::Send(to, msg @ WorkMsg::Cancel { .. }) => self.cancels.push((to, msg)),
                 Output::Answer(_, end) => self.answers.push(end),
                 Output::Send(..) | Output::Event(_) => {}
             }
@@ -148,6 +151,72 @@
     assert_eq!(order.tasks[0].prior_runs, PriorRuns::None);
 }
 
+/// Guards against a false refusal ("not run"): a job is submitted to its dispatcher again after a reset of the link, the
+/// refusal of the first submission arrives late, and the second submission is accepted and runs.
+#[rstest]
+#[case::refused(TaskEnd::Refused(552))]
+#[case::no_worker_may_take_it(TaskEnd::Unplaced)]
+fn refusal_of_an_earlier_submission_is_ignored(#[case] end: TaskEnd) {
+    let mut harness = Harness::new(1, &[5]);
+    let (dispatcher, order) = harness.last();
+    harness.handle(Input::LinkReset(dispatcher));
+    let (_, resubmitted) = harness.last();
+    harness.reply(dispatcher, &order, &[0], end);
+    assert_eq!(harness.answers, []);
+    harness.reply(dispatcher, &resubmitted, &[0], TaskEnd::Done);
+    assert_eq!(harness.answers, [JobEnd::Completed]);
+}
+
+/// Guards against a false refusal ("not run"): a dispatcher refuses one step of a job while another step, which does not
+/// depend on it, was submitted separately and may run.
+#[test]
+fn refusal_of_one_of_several_open_steps_is_answered_as_unsure() {
+    let mut harness = Harness::new(1, &[5]);
+    let mut new = job(1);
+    new.id = JobId(78);
+    new.plan.steps.push(new.plan.steps[0].clone());
+    harness.handle(Input::Submit(CallerId(6), new));
+    let (to, first) = harness.sent[harness.sent.len() - 2].clone();
+    assert_eq!(
+        (first.job, first.step, first.refusable),
+        (JobId(78), 0, true)
+    );
+    let report = TaskReport {
+        task: TaskId {
+            job: first.job,
+            step: 0,
+            index: 0,
+        },
+        submission: first.tasks[0].submission,
+        end: TaskEnd::Refused(100),
+    };
+    harness.handle(Input::Work(to, WorkMsg::Ended(vec![report])));
+    assert_eq!(harness.answers, [JobEnd::Unsure]);
+}
+
+/// Guards against tasks that run after their caller has left: a reset of the link loses the cancellation while the
+/// submission is still on its way.
+#[test]
+fn cancellation_is_repeated_after_a_link_reset() {
+    let mut harness = Harness::new(1, &[5]);
+    let (dispatcher, _) = harness.last();
+    harness.handle(Input::CallerGone(CALLER));
+    assert_eq!(harness.cancels.len(), 1);
+    harness.handle(Input::LinkReset(InstanceId(99)));
+    assert_eq!(harness.cancels.len(), 1, "that link did not carry it");
+    harness.handle(Input::LinkReset(dispatcher));
+    assert_eq!(harness.cancels.len(), 2);
+    assert_eq!(harness.cancels[0], harness.cancels[1]);
+    harness.now = harness.now + Duration::from_secs(4);
+    harness.handle(Input::Tick);
+    harness.handle(Input::LinkReset(dispatcher));
+    assert_eq!(
+        harness.cancels.len(),
+        2,
+        "no earlier submission arrives now"
+    );
+}
+
 /// Guards against refusing a caller although a dispatcher has room. The dispatcher that its job went to had room
 /// by its last report, and has none. The tasks that it returns go to the next one, and the last one that is tried may
 /// refuse the job, as nothing of it has run.
--- a/crates/celerywinch_pool/src/admission.rs
+++ b/crates/celerywinch_pool/src/admission.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use celerywinch_types::{Domain, Load, Mechanism, TaskEnd, TaskReport, Time};
+use celerywinch_types::{
+    Domain, Load, Mechanism, SubmissionNumber, TaskEnd, TaskOrder, TaskReport, Time, WorkMsg,
+};
 
 use crate::PoolEvent;
 use crate::job::{Batch, BatchKey, TaskState};
@@ -84,16 +86,17 @@
         &mut self,
         now: Time,
         batch: &Batch,
-        tasks: usize,
+        tasks: &[TaskOrder],
         out: &mut Vec<Output>,
     ) -> bool {
         let disabled = self.config.disabled;
-        let fits_now = self.queue.is_empty() && self.free_slots(now, batch) >= tasks;
+        let fits_now = self.queue.is_empty() && self.free_slots(now, batch) >= tasks.len();
         if fits_now || disabled.contains(Mechanism::Admission) {
             return false;
         }
+        let submitted = tasks.iter().map(|task| (task.index, task.submission));
         if self.all_evacuated(&batch.order.service) {
-            self.refuse(now, batch, EVACUATED_RETRY_MS, out);
+            self.refuse(now, batch, submitted, EVACUATED_RETRY_MS, out);
             return true;
         }
         let rank = self.rank(BatchKey::default(), batch);
@@ -102,42 +105,56 @@
         } else {
             self.inflow.rate_above(now, batch.order.priority)
         };
-        let new_work = batch.work_of(tasks);
+        let new_work = batch.work_of(tasks.len());
         let wait = self.wait_ms(now, self.queue.ahead(rank), new_work, inflow_rate);
         if meets_objective(now, batch, wait) {
             out.push(Output::Event(PoolEvent::Queued {
                 job: batch.order.job,
                 origin: batch.origin,
-                tasks,
+                tasks: tasks.len(),
                 wait,
             }));
             return false;
         }
-        self.refuse(now, batch, wait, out);
+        self.refuse(now, batch, submitted, wait, out);
         true
     }
 
-    fn refuse(&mut self, now: Time, batch: &Batch, wait: u32, out: &mut Vec<Output>) {
+    /// Refuses a job. `submitted` are the tasks of the step with the numbers of the submissions that are refused.
+    fn refuse(
+        &mut self,
+        now: Time,
+        batch: &Batch,
+        submitted: impl Iterator<Item = (u16, SubmissionNumber)>,
+        wait: u32,
+        out: &mut Vec<Output>,
+    ) {
         let retry_ms = if self.config.disabled.contains(Mechanism::RetryTime) {
             MIN_RETRY_MS
         } else {
             wait.max(MIN_RETRY_MS)
         };
+        let reports = submitted.map(|(index, submission)| TaskReport {
+            task: batch.task_id(index),
+            submission,
+            end: TaskEnd::Refused(retry_ms),
+        });
+        let reports: Vec<_> = reports.collect();
+        for report in &reports {
+            self.record_sent_end(now, batch.origin, *report);
+        }
+        // One report refuses the whole job.
+        let Some(first) = reports.first().copied() else {
+            return;
+        };
         out.push(Output::Event(PoolEvent::Refused {
             job: batch.order.job,
+            submission: first.submission,
             wait,
             expected: batch.expected.as_millis() as u32,
             left: batch.due.since(now).as_millis() as u32,
         }));
-        let report = TaskReport {
-            task: batch.task_id(0),
-            submission: 0,
-            end: TaskEnd::Refused(retry_ms),
-        };
-        out.push(Output::Send(
-            batch.origin,
-            celerywinch_types::WorkMsg::Ended(vec![report]),
-        ));
+        out.push(Output::Send(batch.origin, WorkMsg::Ended(vec![first])));
     }
 
     /// Refuses queued jobs of which nothing has run and which can no longer end in time: their callers learn it at once, and
@@ -168,7 +185,9 @@
                 self.wait_ms(now, self.queue.ahead(self.rank(key, batch)), 0.0, 0.0)
             };
             let batch = batch.clone();
-            self.refuse(now, &batch, wait, out);
+            let submitted = batch.tasks.iter();
+            let submitted = submitted.map(|(index, task)| (*index, task.submission));
+            self.refuse(now, &batch, submitted, wait, out);
             self.drop_batch(now, key, out);
         }
     }
--- a/crates/celerywinch_pool/src/event.rs
+++ b/crates/celerywinch_pool/src/event.rs
@@ -1,6 +1,8 @@
 //! Decisions of the dispatcher that are logged, with their reasons.
 
-use celerywinch_types::{Crashes, Domain, InstanceId, JobId, RunNumber, Session, TaskId};
+use celerywinch_types::{
+    Crashes, Domain, InstanceId, JobId, RunNumber, Session, SubmissionNumber, TaskId,
+};
 use serde::Serialize;
 
 /// Why a worker counts as gone.
@@ -74,6 +76,8 @@
     Refused {
         /// The job.
         job: JobId,
+        /// The submission that was refused.
+        submission: SubmissionNumber,
         /// Estimated time in ms until its last task could start; the retry delay while all data centres are evacuated.
         wait: u32,
         /// Expected run time of a task, in ms.
--- a/crates/celerywinch_pool/src/job.rs
+++ b/crates/celerywinch_pool/src/job.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use celerywinch_types::{
-    Crashes, InstanceId, PriorRuns, RunNumber, Session, StepOrder, TaskId, Time,
+    Crashes, InstanceId, PriorRuns, RunNumber, Session, StepOrder, SubmissionNumber, TaskId, Time,
 };
 use slotmap::new_key_type;
 
@@ -39,7 +39,7 @@
     /// What is known of runs under earlier dispatchers.
     pub(crate) prior_runs: PriorRuns,
     /// Number of its latest submission.
-    pub(crate) submission: u32,
+    pub(crate) submission: SubmissionNumber,
     /// The session in which its origin submitted it; none after another origin has taken over the job.
     pub(crate) session: Option<Session>,
     /// Whether a resync of its origin is pending that has not named this task yet.
--- a/crates/celerywinch_pool/src/origins.rs
+++ b/crates/celerywinch_pool/src/origins.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use celerywinch_types::{InstanceId, JobId, TaskId, Time, WorkMsg};
+use celerywinch_types::{InstanceId, JobId, SubmissionNumber, TaskId, Time, WorkMsg};
 
 use crate::job::{Batch, BatchKey, TaskState};
 use crate::pool::{Output, Pool};
@@ -52,7 +52,7 @@
             unnamed_tasks.extend(unnamed.map(|(index, _)| batch.task_id(*index)));
         }
         unnamed_tasks.retain(|task| !unsure.contains(task));
-        self.drop_tasks(now, origin, &unnamed_tasks, u32::MAX, out);
+        self.drop_tasks(now, origin, &unnamed_tasks, SubmissionNumber::LAST, out);
     }
 
     /// Drops tasks that their origin does not want here any more and stops their runs, unless they were submitted after
@@ -62,7 +62,7 @@
         now: Time,
         origin: InstanceId,
         tasks: &[TaskId],
-        last: u32,
+        last: SubmissionNumber,
         out: &mut Vec<Output>,
     ) {
         for task in tasks {
@@ -94,7 +94,7 @@
         now: Time,
         from: InstanceId,
         job: JobId,
-        last: u32,
+        last: SubmissionNumber,
         out: &mut Vec<Output>,
     ) {
         let is_cancelled = |batch: &Batch| {
@@ -111,8 +111,9 @@
     /// Drops all tasks of a lost origin.
     pub(crate) fn drop_origin(&mut self, now: Time, origin: InstanceId, out: &mut Vec<Output>) {
         // The next incarnation of the origin numbers its submissions from the beginning.
-        let returned = |sent: &SentEnd| sent.origin == origin && sent.report.returns_task();
-        self.sent_ends.retain(|_, sent| !returned(sent));
+        let of_submission =
+            |sent: &SentEnd| sent.origin == origin && !sent.report.covers_later_submissions();
+        self.sent_ends.retain(|_, sent| !of_submission(sent));
         let keys: Vec<_> = self
             .batches
             .iter()
--- a/crates/celerywinch_pool/src/pool.rs
+++ b/crates/celerywinch_pool/src/pool.rs
@@ -507,21 +507,28 @@
         let Some(batch) = self.batches.get_mut(key) else {
             return;
         };
-        let id = batch.task_id(index);
-        let task = batch.tasks.remove(&index);
+        let Some(task) = batch.tasks.remove(&index) else {
+            return;
+        };
         let report = TaskReport {
-            task: id,
-            submission: task.map_or(0, |task| task.submission),
+            task: batch.task_id(index),
+            submission: task.submission,
             end,
         };
+        let origin = batch.origin;
+        self.record_sent_end(now, origin, report);
+        self.report_end(key, report);
+        self.shrunk.push(key);
+    }
+
+    /// Retains an end, as its origin may submit the task again before it receives it.
+    pub(crate) fn record_sent_end(&mut self, now: Time, origin: InstanceId, report: TaskReport) {
         let sent = SentEnd {
             sent_at: now,
-            origin: batch.origin,
+            origin,
             report,
         };
-        self.sent_ends.insert(id, sent);
-        self.report_end(key, report);
-        self.shrunk.push(key);
+        self.sent_ends.insert(report.task, sent);
     }
 
     pub(crate) fn report_end(&mut self, key: BatchKey, report: TaskReport) {
--- a/crates/celerywinch_pool/src/submit.rs
+++ b/crates/celerywinch_pool/src/submit.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use celerywinch_types::{
-    InstanceId, PriorRuns, Session, StepOrder, TaskEnd, TaskId, TaskOrder, TaskReport, Time,
+    InstanceId, PriorRuns, Session, StepOrder, SubmissionNumber, TaskEnd, TaskId, TaskOrder,
+    TaskReport, Time,
 };
 
 use crate::PoolEvent;
@@ -37,7 +38,7 @@
         let known = self.batch_keys.get(&(order.job, order.step)).copied();
         let key = match known {
             Some(key) => {
-                if !self.resubmit_batch(now, key, from, &order) {
+                if !self.resubmit_batch(now, key, from, &order, &tasks) {
                     return;
                 }
                 key
@@ -45,7 +46,7 @@
             None => {
                 let batch = self.new_batch(now, from, order);
                 let (refusable, no_wait) = (batch.order.refusable, batch.order.no_wait);
-                if refusable && !no_wait && self.refuse_new(now, &batch, tasks.len(), out) {
+                if refusable && !no_wait && self.refuse_new(now, &batch, &tasks, out) {
                     return;
                 }
                 if !no_wait {
@@ -81,21 +82,26 @@
         key: BatchKey,
         from: InstanceId,
         order: &StepOrder,
+        tasks: &[TaskOrder],
     ) -> bool {
         let batch = &mut self.batches[key];
         if batch.origin != from {
             let arrived = now - Duration::from_millis(order.age.into());
             if (arrived, from) < (batch.arrived, batch.origin) {
-                self.supersede(from, key);
+                let submitted = tasks.iter().map(|task| (task.index, task.submission));
+                self.supersede(from, key, submitted.collect());
                 return false;
             }
+            let submitted = batch.tasks.iter();
+            let submitted = submitted.map(|(index, task)| (*index, task.submission));
+            let submitted = submitted.collect();
             let earlier = std::mem::replace(&mut batch.origin, from);
             batch.arrived = arrived;
             batch
                 .tasks
                 .values_mut()
                 .for_each(|task| task.session = None);
-            self.supersede(earlier, key);
+            self.supersede(earlier, key, submitted);
         }
         let batch = &mut self.batches[key];
         let earlier = |task: &Task| task.session != Some(order.session);
@@ -103,12 +109,17 @@
         true
     }
 
-    /// Reports to an origin that another one has taken over the job of a batch.
-    fn supersede(&mut self, origin: InstanceId, key: BatchKey) {
+    /// Reports to an origin that another one has taken over the job of a batch, for the tasks that it has submitted.
+    fn supersede(
+        &mut self,
+        origin: InstanceId,
+        key: BatchKey,
+        submitted: Vec<(u16, SubmissionNumber)>,
+    ) {
         let batch = &self.batches[key];
-        let reports = batch.tasks.keys().map(|index| TaskReport {
-            task: batch.task_id(*index),
-            submission: 0,
+        let reports = submitted.into_iter().map(|(index, submission)| TaskReport {
+            task: batch.task_id(index),
+            submission,
             end: TaskEnd::Superseded,
         });
         self.unsent_ends.entry(origin).or_default().extend(reports);
@@ -201,7 +212,12 @@
         let batch = &mut self.batches[key];
         let id = batch.task_id(order.index);
         if let Some(task) = batch.tasks.get_mut(&order.index) {
-            task.submission = order.submission;
+            let resubmitted = task.session == Some(session);
+            task.submission = if resubmitted {
+                task.submission.max(order.submission)
+            } else {
+                order.submission
+            };
             task.session = Some(session);
             task.unconfirmed = false;
             return;
--- a/crates/celerywinch_pool/tests/capacity.rs
+++ b/crates/celerywinch_pool/tests/capacity.rs
@@ -3,7 +3,9 @@
 mod rig;
 
 use celerywinch_pool::{Answer, Input, RunEnd};
-use celerywinch_types::{AnnouncementVersion, JobId, PriorRuns, Resources, WorkerAnnouncement};
+use celerywinch_types::{
+    AnnouncementVersion, JobId, PriorRuns, Resources, SubmissionNumber, WorkerAnnouncement,
+};
 use rig::{
     DOMAIN, Rig, clock, ended_row, is_poll, is_start, is_stop, lists, running_row, step,
     worker_announcement,
@@ -103,7 +105,7 @@
     let poll = rig.last_call(is_poll);
     let cancel = celerywinch_types::WorkMsg::Cancel {
         job: rig::JOB,
-        last_submission: u32::MAX,
+        last_submission: SubmissionNumber::LAST,
     };
     rig.handle(Input::Work(rig::ORIGIN, cancel));
     assert_eq!(rig.count_calls(is_stop), 1);
--- a/crates/celerywinch_pool/tests/crashes.rs
+++ b/crates/celerywinch_pool/tests/crashes.rs
@@ -6,8 +6,8 @@
 
 use celerywinch_pool::{Answer, Input};
 use celerywinch_types::{
-    AnnouncementVersion, Crashes, Incarnation, JobId, PriorRuns, StepOrder, TaskEnd, TaskOrder,
-    WorkMsg, WorkerAnnouncement, WorkerStage,
+    AnnouncementVersion, Crashes, Incarnation, JobId, PriorRuns, StepOrder, SubmissionNumber,
+    TaskEnd, TaskOrder, WorkMsg, WorkerAnnouncement, WorkerStage,
 };
 use rig::{
     ORIGIN, Rig, clock, is_poll, is_start, lists, lists_of, running_row, step, task,
@@ -169,7 +169,7 @@
         end(&mut rig, &mut incarnations, End::Restarts);
         let cancel = WorkMsg::Cancel {
             job: rig::JOB,
-            last_submission: u32::MAX,
+            last_submission: SubmissionNumber::LAST,
         };
         rig.handle(Input::Work(ORIGIN, cancel));
         let stop = rig.last_call(rig::is_stop);
--- a/crates/celerywinch_pool/tests/grants.rs
+++ b/crates/celerywinch_pool/tests/grants.rs
@@ -5,8 +5,12 @@
 use std::time::Duration;
 
 use celerywinch_pool::{Answer, Grant, Input, Rejection, Request, RunEnd};
-use celerywinch_types::{Incarnation, InstanceId, JobId, PriorRuns, Session, TaskEnd, WorkMsg};
-use rig::{ORIGIN, Rig, clock, ended_row, is_poll, is_start, is_stop, lists, running_row, step};
+use celerywinch_types::{
+    Incarnation, InstanceId, JobId, PriorRuns, Session, SubmissionNumber, TaskEnd, WorkMsg,
+};
+use rig::{
+    ORIGIN, Rig, clock, ended_row, is_poll, is_start, is_stop, lists, running_row, step, submission,
+};
 use rstest::rstest;
 
 const REMOTE: InstanceId = InstanceId(5);
@@ -167,7 +171,7 @@
     remote
         .rig
         .answer(&poll, lists(vec![running_row(1)], Vec::new()));
-    let last = 1;
+    let last = SubmissionNumber::FIRST;
     match withdrawal {
         Withdrawal::Cancelled => {
             let job = rig::JOB;
@@ -232,7 +236,7 @@
     rig.answer(&start, Answer::Accepted(clock()));
     let cancel = WorkMsg::Cancel {
         job: rig::JOB,
-        last_submission: 1,
+        last_submission: SubmissionNumber::FIRST,
     };
     rig.handle(Input::Work(ORIGIN, cancel));
     if let Some(answer) = stop {
@@ -285,13 +289,18 @@
 /// told to drop it, the job goes back to it after the network partition, and then the delayed message arrives. It must
 /// take back only what was submitted before it was sent.
 #[rstest]
-#[case::cancelled(WorkMsg::Cancel { job: rig::JOB, last_submission: 0 }, 0)]
-#[case::dropped(WorkMsg::Drop { tasks: vec![rig::task(0)], last_submission: 0 }, 0)]
-#[case::cancelled_in_time(WorkMsg::Cancel { job: rig::JOB, last_submission: 1 }, 1)]
-#[case::dropped_in_time(WorkMsg::Drop { tasks: vec![rig::task(0)], last_submission: 1 }, 1)]
+#[case::cancelled(WorkMsg::Cancel { job: rig::JOB, last_submission: submission(1) }, 0)]
+#[case::dropped(WorkMsg::Drop { tasks: vec![rig::task(0)], last_submission: submission(1) }, 0)]
+#[case::cancelled_in_time(WorkMsg::Cancel { job: rig::JOB, last_submission: submission(2) }, 1)]
+#[case::dropped_in_time(WorkMsg::Drop { tasks: vec![rig::task(0)], last_submission: submission(2) }, 1)]
 fn delayed_message_takes_back_only_earlier_submissions(#[case] msg: WorkMsg, #[case] stops: usize) {
     let mut remote = Remote::new();
-    remote.submit(0, PriorRuns::None);
+    let mut order = step(PriorRuns::None, 0);
+    order.tasks[0].submission = submission(2);
+    order.tasks[0].first_submission = submission(2);
+    remote
+        .rig
+        .handle(Input::Work(REMOTE, WorkMsg::Submit(order)));
     remote.rig.handle(Input::Work(REMOTE, msg));
     remote.rig.handle(Input::Tick);
     assert_eq!(
@@ -312,7 +321,7 @@
     rig.answer(&start, Answer::Accepted(clock()));
     let cancel = WorkMsg::Cancel {
         job: rig::JOB,
-        last_submission: 1,
+        last_submission: SubmissionNumber::FIRST,
     };
     rig.handle(Input::Work(ORIGIN, cancel));
     let stop = rig.last_call(is_stop);
@@ -366,7 +375,7 @@
     assert_eq!(rig.ends.last().map(|(_, end)| *end), Some(TaskEnd::Full));
     let cancel = WorkMsg::Cancel {
         job: JobId(1),
-        last_submission: 1,
+        last_submission: SubmissionNumber::FIRST,
     };
     rig.handle(Input::Work(ORIGIN, cancel));
     let stop = rig.last_call(is_stop);
@@ -379,8 +388,8 @@
     let mut remote = Remote { rig };
     remote.grant(0, 500);
     let mut again = step(PriorRuns::None, 0);
-    again.tasks[0].submission = 2;
-    again.tasks[0].first_submission = 2;
+    again.tasks[0].submission = submission(2);
+    again.tasks[0].first_submission = submission(2);
     let origin = if case.other { REMOTE } else { ORIGIN };
     remote
         .rig
@@ -398,7 +407,7 @@
     rig.answer(&start, Answer::Accepted(clock()));
     let cancel = WorkMsg::Cancel {
         job: rig::JOB,
-        last_submission: 1,
+        last_submission: SubmissionNumber::FIRST,
     };
     rig.handle(Input::Work(ORIGIN, cancel));
     let stop = rig.last_call(is_stop);
--- a/crates/celerywinch_pool/tests/rig/mod.rs
+++ b/crates/celerywinch_pool/tests/rig/mod.rs
@@ -9,8 +9,8 @@
 };
 use celerywinch_types::{
     AnnouncementVersion, Crashes, DataCentreId, Domain, Fence, Incarnation, InstanceId, JobId,
-    PriorRuns, Resources, RunNumber, Session, StepOrder, TaskEnd, TaskId, TaskOrder, Time, WorkMsg,
-    WorkerAnnouncement, WorkerClock, WorkerStage,
+    PriorRuns, Resources, RunNumber, Session, StepOrder, SubmissionNumber, TaskEnd, TaskId,
+    TaskOrder, Time, WorkMsg, WorkerAnnouncement, WorkerClock, WorkerStage,
 };
 
 pub(crate) const DC: DataCentreId = DataCentreId(0);
@@ -34,6 +34,10 @@
     }
 }
 
+pub(crate) fn submission(number: u64) -> SubmissionNumber {
+    SubmissionNumber::new(number).expect("a number above zero")
+}
+
 pub(crate) fn worker_announcement(id: &str, port: u16) -> WorkerAnnouncement {
     WorkerAnnouncement {
         id: id.to_owned(),
@@ -80,8 +84,8 @@
             crashes: Crashes::default(),
             run: RunNumber(run),
             prior_runs,
-            submission: 1,
-            first_submission: 1,
+            submission: SubmissionNumber::FIRST,
+            first_submission: SubmissionNumber::FIRST,
         }],
     }
 }
@@ -95,6 +99,8 @@
     pub(crate) ends: Vec<(TaskId, TaskEnd)>,
     /// The same ends with the origin that each was sent to.
     pub(crate) ends_by_origin: Vec<(InstanceId, TaskEnd)>,
+    /// The submissions that the same ends answer.
+    pub(crate) answered: Vec<SubmissionNumber>,
     /// How often a worker was found to have seen a higher fencing token.
     pub(crate) fenced: usize,
 }
@@ -118,6 +124,7 @@
             calls: Vec::new(),
             ends: Vec::new(),
             ends_by_origin: Vec::new(),
+            answered: Vec::new(),
             fenced: 0,
         };
         rig.pool
@@ -135,6 +142,8 @@
                 Output::Send(to, WorkMsg::Ended(reports)) => {
                     self.ends_by_origin
                         .extend(reports.iter().map(|report| (to, report.end)));
+                    self.answered
+                        .extend(reports.iter().map(|report| report.submission));
                     self.ends
                         .extend(reports.iter().map(|report| (report.task, report.end)));
                 }
--- a/crates/celerywinch_pool/tests/runs.rs
+++ b/crates/celerywinch_pool/tests/runs.rs
@@ -3,10 +3,10 @@
 mod rig;
 
 use celerywinch_pool::{Answer, EndedRow, Input, Rejection, Request, RunEnd, RunningRow};
-use celerywinch_types::{JobId, PriorRuns, RunNumber, TaskEnd, WorkMsg};
+use celerywinch_types::{JobId, PriorRuns, RunNumber, SubmissionNumber, TaskEnd, WorkMsg};
 use rig::{
-    JOB, ORIGIN, Rig, clock, ended_row, is_poll, is_start, is_stop, lists, running_row, step, task,
-    worker_announcement,
+    JOB, ORIGIN, Rig, clock, ended_row, is_poll, is_start, is_stop, lists, running_row, step,
+    submission, task, worker_announcement,
 };
 use rstest::rstest;
 
@@ -94,7 +94,7 @@
         ORIGIN,
         WorkMsg::Cancel {
             job: JOB,
-            last_submission: 1,
+            last_submission: SubmissionNumber::FIRST,
         },
     ));
     let stop = rig.last_call(is_stop);
@@ -307,7 +307,7 @@
 /// Where a task was after a dispatcher had returned it.
 struct Resubmitted {
     /// Number of the first of its consecutive submissions to this dispatcher.
-    first: u32,
+    first: u64,
     /// The end that is reported to the origin.
     reported: Option<TaskEnd>,
 }
@@ -332,8 +332,8 @@
     assert_eq!(rig.ends, [(task(0), TaskEnd::Full)]);
     rig.ends.clear();
     let mut again = step(PriorRuns::Unknown, 10);
-    again.tasks[0].first_submission = case.first;
-    again.tasks[0].submission = 4;
+    again.tasks[0].first_submission = submission(case.first);
+    again.tasks[0].submission = submission(4);
     rig.submit(again);
     let reported = rig.ends.first().map(|(_, end)| *end);
     assert_eq!(reported, case.reported);
--- a/crates/celerywinch_types/src/fleet.rs
+++ b/crates/celerywinch_types/src/fleet.rs
@@ -1,6 +1,7 @@
 //! Messages between the processes of a deployment that runs jobs of tasks on workers.
 
 use std::collections::BTreeSet;
+use std::num::NonZeroU64;
 
 use serde::{Deserialize, Serialize};
 
@@ -14,6 +15,30 @@
     /// that the origin declares the dispatcher lost, after which its tasks may run elsewhere.
     #[derive(Default)]
     pub struct Session(pub u32);
+
+    /// The number of a submission of tasks to a dispatcher. It rises over all submissions of an origin.
+    ///
+    /// There is no zero and no default, so a report cannot leave out which submission it answers.
+    pub struct SubmissionNumber(NonZeroU64);
+}
+
+impl SubmissionNumber {
+    /// The lowest number.
+    pub const FIRST: Self = Self(NonZeroU64::MIN);
+    /// The highest number; it covers all submissions.
+    pub const LAST: Self = Self(NonZeroU64::MAX);
+
+    /// Returns a number, or none if it is zero.
+    #[must_use]
+    pub fn new(number: u64) -> Option<Self> {
+        NonZeroU64::new(number).map(Self)
+    }
+
+    /// Returns the number of the next submission.
+    #[must_use]
+    pub fn next(self) -> Self {
+        Self(self.0.saturating_add(1))
+    }
 }
 
 domain! {
@@ -155,9 +180,9 @@
         /// Whether it may be running.
         pub prior_runs: PriorRuns,
         /// The number of this submission, which rises over all submissions of its origin.
-        pub submission: u32,
+        pub submission: SubmissionNumber,
         /// The number of its first submission to this dispatcher, which should have the task since then.
-        pub first_submission: u32,
+        pub first_submission: SubmissionNumber,
     }
 
     /// How a task that was submitted to a dispatcher ended.
@@ -165,8 +190,8 @@
     pub struct TaskReport {
         /// The task.
         pub task: TaskId,
-        /// The number of the submission.
-        pub submission: u32,
+        /// The submission that the end answers.
+        pub submission: SubmissionNumber,
         /// The end.
         pub end: TaskEnd,
     }
@@ -270,14 +295,14 @@
             job: JobId,
             /// The number of the origin's last submission so far. The message may be delayed; later submissions are
             /// not cancelled.
-            last_submission: u32,
+            last_submission: SubmissionNumber,
         },
         /// Drops tasks that their origin has submitted elsewhere.
         Drop {
             /// The tasks.
             tasks: Vec<TaskId>,
             /// As in `Cancel`.
-            last_submission: u32,
+            last_submission: SubmissionNumber,
         },
         /// Ends of tasks.
         Ended(Vec<TaskReport>),
@@ -366,8 +391,7 @@
 }
 
 impl TaskReport {
-    /// Whether the task returns to its origin. Such a report of an earlier submission must be ignored, as the dispatcher
-    /// may have received the task again since then.
+    /// Whether the task returns to its origin.
     #[must_use]
     pub fn returns_task(&self) -> bool {
         match self.end {
@@ -380,6 +404,20 @@
             | TaskEnd::Superseded => false,
         }
     }
+
+    /// Whether the end settles the task even if its origin has submitted it again since. Any other end of an earlier
+    /// submission must be ignored: the dispatcher answers the later one too, and may accept it.
+    #[must_use]
+    pub fn covers_later_submissions(&self) -> bool {
+        match self.end {
+            TaskEnd::Done | TaskEnd::Failed | TaskEnd::GivenUp | TaskEnd::Superseded => true,
+            TaskEnd::Full
+            | TaskEnd::Returned { .. }
+            | TaskEnd::Undetermined
+            | TaskEnd::Refused(_)
+            | TaskEnd::Unplaced => false,
+        }
+    }
 }
 
 /// What is learned of the run times of a queue's tasks, as logarithms of ms.
