Ask for dropped submissions also without a domain

A caller waited until its deadline: its entry counted a task as submitted to a dispatcher that did not have it.

Ruled out: a lost message (no link was reset), a dispatcher that counted as lost.

Change: origins whose submissions were dropped are asked at their next grant, whatever the dispatcher owns.

Measured: dropped_submission_is_requested_without_a_domain (dropped_before) fails without the change.

--- a/crates/celerywinch_pool/src/event.rs
+++ b/crates/celerywinch_pool/src/event.rs
@@ -62,6 +62,8 @@
     HeldUp {
         /// The origin.
         origin: InstanceId,
+        /// The job.
+        job: JobId,
         /// The session in which it was sent.
         session: Session,
         /// The current session of the origin; none before its first heartbeat.
--- a/crates/celerywinch_pool/src/grants.rs
+++ b/crates/celerywinch_pool/src/grants.rs
@@ -10,7 +10,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use celerywinch_types::{Incarnation, InstanceId, Session, Time};
+use celerywinch_types::{Incarnation, InstanceId, JobId, Session, Time};
 
 use crate::PoolEvent;
 use crate::job::Task;
@@ -49,6 +49,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Grants {
     grants: BTreeMap<InstanceId, Grant>,
+    /// Origins whose submissions were dropped and that have not been asked for them since.
+    held_up: BTreeSet<InstanceId>,
 }
 
 /// The effect of a renewal.
@@ -113,7 +115,8 @@
     }
 
     /// Applies a grant that a heartbeat of an origin has renewed. If the grant is new, the origin is asked which tasks
-    /// it wants: submissions may have been dropped before, and tasks that it does not name are elsewhere.
+    /// it wants: submissions may have been dropped before, and tasks that it does not name are elsewhere. A dispatcher
+    /// that owns no domain asks only if it has dropped some; it then returns them.
     pub(crate) fn handle_grant(
         &mut self,
         now: Time,
@@ -122,24 +125,31 @@
         out: &mut Vec<Output>,
     ) {
         let renewal = self.grants.renew(now, origin, grant);
-        if renewal == Renewal::New && grant.until > now && !self.owned.is_empty() {
-            self.request_resync(origin, out);
+        if renewal == Renewal::New && grant.until > now {
+            let held_up = self.grants.held_up.remove(&origin);
+            if held_up || !self.owned.is_empty() {
+                self.request_resync(origin, out);
+            }
         }
     }
 
-    /// Returns whether a submission belongs to the present session of its origin; any other was delayed on its way.
+    /// Returns whether a submission belongs to the present session of its origin. Any other was delayed on its way, or
+    /// has overtaken the heartbeat that tells its session; the origin is asked for it when its grant is renewed.
     pub(crate) fn is_current(
-        &self,
+        &mut self,
         origin: InstanceId,
         session: Session,
+        job: JobId,
         out: &mut Vec<Output>,
     ) -> bool {
         let present = self.grants.session(origin);
         if present == Some(session) {
             return true;
         }
+        self.grants.held_up.insert(origin);
         out.push(Output::Event(PoolEvent::HeldUp {
             origin,
+            job,
             session,
             present,
         }));
--- a/crates/celerywinch_pool/src/submit.rs
+++ b/crates/celerywinch_pool/src/submit.rs
@@ -26,7 +26,7 @@
         mut order: StepOrder,
         out: &mut Vec<Output>,
     ) {
-        if !self.is_current(from, order.session, out) {
+        if !self.is_current(from, order.session, order.job, out) {
             return;
         }
         let session = order.session;
--- a/crates/celerywinch_pool/tests/grants.rs
+++ b/crates/celerywinch_pool/tests/grants.rs
@@ -425,3 +425,29 @@
         "the task may be running elsewhere"
     );
 }
+
+/// Guards against a caller that waits until its deadline: its job is submitted to a dispatcher that does not know the
+/// session yet and drops it, and then owns no domain any more when the grant of that session arrives.
+#[rstest]
+#[case::dropped_before(1, &[REMOTE])]
+#[case::returned_at_once(0, &[])]
+fn dropped_submission_is_requested_without_a_domain(
+    #[case] submitted: u32,
+    #[case] asked: &[InstanceId],
+) {
+    let rig = Rig::empty(celerywinch_pool::PoolConfig::default());
+    let mut remote = Remote { rig };
+    remote.grant(0, 500);
+    remote.submit(submitted, PriorRuns::None);
+    remote.grant(1, 500);
+    assert_eq!(remote.rig.resyncs, asked);
+    assert_eq!(remote.rig.ends.len(), usize::from(asked.is_empty()));
+    remote.submit(1, PriorRuns::None);
+    let returned = |end: &TaskEnd| matches!(end, TaskEnd::Returned { at: None, .. });
+    assert!(
+        remote.rig.ends.iter().all(|(_, end)| returned(end)),
+        "{:?}",
+        remote.rig.ends
+    );
+    assert!(!remote.rig.ends.is_empty());
+}
--- a/crates/celerywinch_pool/tests/rig/mod.rs
+++ b/crates/celerywinch_pool/tests/rig/mod.rs
@@ -101,6 +101,8 @@
     pub(crate) ends_by_origin: Vec<(InstanceId, TaskEnd)>,
     /// The submissions that the same ends answer.
     pub(crate) answered: Vec<SubmissionNumber>,
+    /// The origins that were asked which tasks they want.
+    pub(crate) resyncs: Vec<InstanceId>,
     /// How often a worker was found to have seen a higher fencing token.
     pub(crate) fenced: usize,
 }
@@ -125,6 +127,7 @@
             ends: Vec::new(),
             ends_by_origin: Vec::new(),
             answered: Vec::new(),
+            resyncs: Vec::new(),
             fenced: 0,
         };
         rig.pool
@@ -147,6 +150,7 @@
                     self.ends
                         .extend(reports.iter().map(|report| (report.task, report.end)));
                 }
+                Output::Send(to, WorkMsg::Resync(_)) => self.resyncs.push(to),
                 Output::Fenced(_) => self.fenced += 1,
                 Output::Send(..)
                 | Output::TokenExhausted(_)
