Return tasks that no worker of their dispatcher may take

Callers waited until their deadlines for jobs that may have run: their dispatcher had only workers in evacuated data centres, neither started the tasks nor gave them back, and workers of other dispatchers had room.

A dispatcher without a usable worker also reported a wait of 0, the shortest of all. Ruled out: grants (all tasks were granted), lost reports.

Change: such tasks are returned with what is known of them; the origin submits them to each other dispatcher once, and answers at once if none is left (429 if nothing has run, else 502). Tasks that have been with a dispatcher for 3 s are submitted again, which bounds each wait of an origin for a message.

--- a/crates/celerywinch_bench/tests/members_mixes.rs
+++ b/crates/celerywinch_bench/tests/members_mixes.rs
@@ -21,6 +21,31 @@
     assert_eq!(report.violations, Vec::<Violation>::new());
 }
 
+const EVACUATED: &[Switch] = &[
+    Switch::Evacuated,
+    Switch::Held,
+    Switch::Refused,
+    Switch::Drift,
+];
+
+/// Guards against a job that waits for ever: no worker that obeys its dispatcher may take its tasks, as all are in evacuated data
+/// centres, or the dispatcher has dropped its submission without asking for it again (50107002).
+#[rstest]
+#[case(Case { switches: EVACUATED, seed: 25_811_023 })]
+#[case(Case { switches: EVACUATED, seed: 5_807_023 })]
+#[case(Case { switches: EVACUATED, seed: 13_219_025 })]
+#[case(Case { switches: EVACUATED, seed: 2_766_007 })]
+#[case(Case { switches: &[Switch::Refused, Switch::Evacuated, Switch::Congested, Switch::Reborn], seed: 50_109_002 })]
+#[case(Case {
+    switches: &[Switch::Held, Switch::Crashing, Switch::Congested, Switch::Many, Switch::Evacuated],
+    seed: 50_107_002,
+})]
+fn no_job_waits_for_ever(#[case] case: Case) {
+    let switches: Switches = case.switches.iter().copied().collect();
+    let report = run(switches.options(case.seed));
+    assert_eq!(report.violations, Vec::<Violation>::new());
+}
+
 /// A short run of mixes drawn by the seed; `celerywinch soak --members --mixed` makes longer ones.
 #[rstest]
 fn drawn_mixes_hold(#[values(1, 2, 3, 4)] seed: u64) {
--- a/crates/celerywinch_fleet/src/metrics.rs
+++ b/crates/celerywinch_fleet/src/metrics.rs
@@ -181,6 +181,7 @@
             PoolEvent::Acquired { .. } | PoolEvent::Resigned { .. } => self.changes.inc(),
             PoolEvent::Queued { .. }
             | PoolEvent::Passed { .. }
+            | PoolEvent::Unplaced { .. }
             | PoolEvent::HeldUp { .. }
             | PoolEvent::GrantOver { .. }
             | PoolEvent::Started { .. }
--- a/crates/celerywinch_origin/src/choice.rs
+++ b/crates/celerywinch_origin/src/choice.rs
@@ -1,6 +1,6 @@
 //! Choice of the dispatcher for the tasks of a step.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use celerywinch_types::{DataCentreId, Domain, InstanceId, JobId, Load, score};
 
@@ -42,6 +42,10 @@
     pub(crate) tasks: u32,
     /// Dispatchers that returned them for lack of room.
     pub(crate) full: &'a [InstanceId],
+    /// The step.
+    pub(crate) step: u16,
+    /// Dispatchers of which no worker may take the tasks of a step.
+    pub(crate) unplaced: &'a BTreeSet<(u16, InstanceId)>,
 }
 
 /// The dispatcher chosen, and how the tasks are submitted to it.
@@ -62,7 +66,8 @@
     local: bool,
 }
 
-/// Chooses a dispatcher with free places, or else the one with the shortest expected wait.
+/// Chooses a dispatcher with free places, or else the one with the shortest expected wait. Returns none if no dispatcher has a
+/// worker that may take the tasks.
 ///
 /// Two candidates are drawn by a hash of the job's number and the better one is taken (power of two choices). All origins
 /// have the same load figures, and would otherwise all choose the same dispatcher until the next heartbeat.
@@ -73,6 +78,10 @@
 /// rule and 813 without it.
 pub(crate) fn choose(holders: &[Holder], request: &Request) -> Option<Choice> {
     let mut all = candidates(holders, request.dc);
+    all.retain(|c| {
+        let key = (request.step, c.holder.instance);
+        !request.unplaced.contains(&key)
+    });
     let single = all.len() == 1;
     if all.iter().any(|c| c.holder.preferred) {
         all.retain(|c| c.holder.preferred);
--- a/crates/celerywinch_origin/src/job.rs
+++ b/crates/celerywinch_origin/src/job.rs
@@ -92,10 +92,14 @@
     pub(crate) plan: JobPlan,
     pub(crate) arrived: Time,
     pub(crate) tasks: BTreeMap<(u16, u16), Task>,
+    /// When tasks of it were last submitted.
+    pub(crate) submitted_at: Time,
     /// Whether one of its tasks was returned or lost and may have run.
     pub(crate) maybe_ran: bool,
     /// Dispatchers that returned its tasks because they had no room.
     pub(crate) full: Vec<InstanceId>,
+    /// Dispatchers of which no worker may take the tasks of a step.
+    pub(crate) unplaced: BTreeSet<(u16, InstanceId)>,
 }
 
 impl Job {
@@ -127,8 +131,10 @@
             plan,
             arrived: now,
             tasks,
+            submitted_at: now,
             maybe_ran: false,
             full: Vec::new(),
+            unplaced: BTreeSet::new(),
         }
     }
 
@@ -219,15 +225,21 @@
     }
 
     /// Returns the dispatchers that have tasks of the job, or may have.
-    pub(crate) fn dispatchers(&self) -> Vec<InstanceId> {
+    pub(crate) fn dispatchers(&self) -> BTreeSet<InstanceId> {
         let out = self.tasks.values().filter_map(|task| match &task.state {
             TaskState::Submitted(instance, _) => Some(*instance),
             TaskState::MaybeRunning(run) => run.dispatcher,
             TaskState::Pending | TaskState::Done => None,
         });
-        let mut out: Vec<_> = out.collect();
-        out.sort_unstable();
-        out.dedup();
-        out
+        out.collect()
+    }
+
+    /// Returns the dispatchers that its tasks are submitted to.
+    pub(crate) fn submitted_to(&self) -> BTreeSet<InstanceId> {
+        let out = self.tasks.values().filter_map(|task| match &task.state {
+            TaskState::Submitted(instance, _) => Some(*instance),
+            TaskState::MaybeRunning(_) | TaskState::Pending | TaskState::Done => None,
+        });
+        out.collect()
     }
 }
--- a/crates/celerywinch_origin/src/lost.rs
+++ b/crates/celerywinch_origin/src/lost.rs
@@ -1,18 +1,21 @@
 //! Handling of lost dispatchers, and of lost messages to and from dispatchers.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use celerywinch_types::{InstanceId, JobEnd, JobId, PriorRuns, TaskId, Time, WorkMsg};
 
 use crate::JobEvent;
-use crate::job::{PossibleRun, TaskState};
+use crate::job::{Job, PossibleRun, Task, TaskState};
 use crate::origin::{Origin, Output, RETRY_AFTER_MS};
 
 /// Time after which a task of a lost dispatcher can no longer be running: a dispatcher starts tasks for at most 500 ms
 /// after the last contact with their origin, and the longest lease, with clock errors, is 931 ms.
 pub(crate) const LOST_RUN_TIMEOUT: Duration = Duration::from_millis(1_450);
 
+/// How long tasks are with a dispatcher before they are submitted to it again. Most tasks take less than a second.
+const RESUBMIT_INTERVAL: Duration = Duration::from_secs(3);
+
 /// Tasks that dispatchers reported as lost may still have and must not start, by dispatcher.
 ///
 /// A dispatcher that was unreachable for a moment still has its tasks, and could start one that another dispatcher has
@@ -130,38 +133,56 @@
     /// Submits all tasks of a dispatcher to it again, since messages in either direction may have been lost. The
     /// dispatcher accepts only those that it does not have.
     pub(crate) fn resubmit(&mut self, now: Time, peer: InstanceId, out: &mut Vec<Output>) {
-        let session = self.session(peer);
-        for job in self.jobs.values_mut() {
-            let mut steps: Vec<u16> = Vec::new();
-            for ((step, _), task) in &job.tasks {
-                if matches!(task.state, TaskState::Submitted(at, _) if at == peer)
-                    && !steps.contains(step)
-                {
-                    steps.push(*step);
-                }
-            }
-            for step in steps {
-                let tasks = job.tasks.range_mut((step, 0)..=(step, u16::MAX));
-                let resubmitted = tasks
-                    .filter(|(_, t)| matches!(t.state, TaskState::Submitted(at, _) if at == peer));
-                let number = self.last_submission.next();
-                self.last_submission = number;
-                let orders = resubmitted.map(|((_, index), task)| {
-                    task.submit(*index, PriorRuns::Unknown, number, true)
-                });
-                let orders: Vec<_> = orders.collect();
-                out.push(Output::Event(JobEvent::Resubmitted {
-                    job: job.id,
-                    to: peer,
-                    tasks: orders.len(),
-                }));
-                let mut order = job.order(now, step, orders);
-                order.session = session;
-                out.push(Output::Send(peer, WorkMsg::Submit(order)));
+        let jobs: Vec<_> = self.jobs.keys().copied().collect();
+        for job in jobs {
+            self.resubmit_job(now, job, peer, out);
+        }
+    }
+
+    /// Submits the tasks of jobs again that have been with their dispatchers for [`RESUBMIT_INTERVAL`].
+    ///
+    /// Resets of links and losses of dispatchers are noticed sooner. This bounds the wait for a task of which the dispatcher
+    /// has lost track for any other reason.
+    pub(crate) fn resubmit_overdue(&mut self, now: Time, out: &mut Vec<Output>) {
+        let overdue = |job: &&Job| now.since(job.submitted_at) >= RESUBMIT_INTERVAL;
+        let jobs = self.jobs.values().filter(overdue);
+        let jobs: Vec<_> = jobs.map(|job| (job.id, job.submitted_to())).collect();
+        for (job, dispatchers) in jobs {
+            for dispatcher in dispatchers {
+                self.resubmit_job(now, job, dispatcher, out);
             }
         }
     }
 
+    fn resubmit_job(&mut self, now: Time, id: JobId, peer: InstanceId, out: &mut Vec<Output>) {
+        let session = self.session(peer);
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let is_there =
+            |task: &Task| matches!(task.state, TaskState::Submitted(at, _) if at == peer);
+        let there = job.tasks.iter().filter(|(_, task)| is_there(task));
+        let steps: BTreeSet<u16> = there.map(|((step, _), _)| *step).collect();
+        for step in steps {
+            let number = self.last_submission.next();
+            self.last_submission = number;
+            let tasks = job.tasks.range_mut((step, 0)..=(step, u16::MAX));
+            let orders = tasks
+                .filter(|(_, task)| is_there(task))
+                .map(|((_, index), task)| task.submit(*index, PriorRuns::Unknown, number, true));
+            let orders: Vec<_> = orders.collect();
+            out.push(Output::Event(JobEvent::Resubmitted {
+                job: id,
+                to: peer,
+                tasks: orders.len(),
+            }));
+            job.submitted_at = now;
+            let mut order = job.order(now, step, orders);
+            order.session = session;
+            out.push(Output::Send(peer, WorkMsg::Submit(order)));
+        }
+    }
+
     /// Returns the tasks that a dispatcher had when it was last reported as lost.
     pub(crate) fn lost_tasks(&self, peer: InstanceId) -> Vec<TaskId> {
         let mut found = Vec::new();
--- a/crates/celerywinch_origin/src/origin.rs
+++ b/crates/celerywinch_origin/src/origin.rs
@@ -20,6 +20,8 @@
 const DISPATCHER_TIMEOUT: Duration = Duration::from_millis(200);
 /// Retry delay given to such a caller, in ms: the longest duration of a handoff.
 pub(crate) const RETRY_AFTER_MS: u32 = 500;
+/// Retry delay that callers get while no worker may take their tasks, in ms.
+const UNPLACED_RETRY_MS: u32 = 1_000;
 /// How long a handoff may leave this entry without a dispatcher. A handoff takes up to 500 ms.
 const HANDOFF_TIMEOUT: Duration = Duration::from_millis(600);
 /// Jobs with tasks still to be submitted at this age are answered as unsure: no caller waits longer.
@@ -338,7 +340,7 @@
             TaskEnd::Failed => self.answer(now, id.job, JobEnd::Failed, out),
             // A task given up after crashes of its workers has not reached the queue's limit of failed runs, so its job
             // is not reported as failed.
-            TaskEnd::GivenUp | TaskEnd::Superseded | TaskEnd::Unplaced => {
+            TaskEnd::GivenUp | TaskEnd::Superseded => {
                 self.answer(now, id.job, JobEnd::Unsure, out);
             }
             TaskEnd::Refused(later) => {
@@ -357,6 +359,18 @@
                 self.pending.insert(id.job);
                 self.mark_full(from);
             }
+            TaskEnd::Unplaced {
+                failures,
+                run,
+                started,
+            } => {
+                job.maybe_ran |= started;
+                task.failures = failures;
+                task.run = task.run.max(run);
+                task.state = TaskState::Pending;
+                job.unplaced.insert((id.step, from));
+                self.pending.insert(id.job);
+            }
             TaskEnd::Returned { at, failures, run } => {
                 job.maybe_ran = true;
                 task.failures = failures;
@@ -407,6 +421,7 @@
 
     fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
         self.sent_cancels.expire(now);
+        self.resubmit_overdue(now, out);
         if self.holders.is_empty() {
             self.unserved_since.get_or_insert(now);
         } else {
@@ -455,6 +470,9 @@
 
     /// Submits the tasks of a step; returns true if some of them could not be submitted.
     fn submit_step(&mut self, now: Time, id: JobId, step: u16, out: &mut Vec<Output>) -> bool {
+        if !self.jobs.contains_key(&id) {
+            return false;
+        }
         let mut remaining = false;
         self.release_ended(now, id, step, out);
         for holder in self.holders.clone() {
@@ -493,6 +511,8 @@
             priority: job.queue.priority,
             tasks: count,
             full: &job.full,
+            step,
+            unplaced: &job.unplaced,
         };
         match choose(&self.holders, &request) {
             Some(choice) => {
@@ -505,11 +525,27 @@
                     out,
                 );
             }
-            None => remaining = true,
+            // The owner of some domain is about to be determined.
+            None if self.holders_incomplete => remaining = true,
+            None => {
+                self.answer_unplaced(now, id, out);
+                return false;
+            }
         }
         remaining
     }
 
+    /// Answers a job with tasks that no worker of any dispatcher may take.
+    fn answer_unplaced(&mut self, now: Time, id: JobId, out: &mut Vec<Output>) {
+        let started = self.jobs.get(&id).is_none_or(Job::may_have_started);
+        let end = if started {
+            JobEnd::Unsure
+        } else {
+            JobEnd::Refused(UNPLACED_RETRY_MS)
+        };
+        self.answer(now, id, end, out);
+    }
+
     fn send_tasks(
         &mut self,
         now: Time,
@@ -547,6 +583,7 @@
         if orders.is_empty() {
             return;
         }
+        job.submitted_at = now;
         let count = orders.len();
         out.push(Output::Event(JobEvent::HandedIn {
             job: id,
--- a/crates/celerywinch_pool/src/admission.rs
+++ b/crates/celerywinch_pool/src/admission.rs
@@ -17,8 +17,6 @@
 const MIN_LOW_SHARE: f64 = 0.1;
 /// The shortest retry delay that a refused caller gets, in ms. Otherwise it gets the time until the work ahead is done.
 const MIN_RETRY_MS: u32 = 100;
-/// Retry delay that callers get while all workers of a service are in evacuated data centres, in ms.
-const EVACUATED_RETRY_MS: u32 = 1_000;
 /// Number of priorities that are reported separately in the load of a domain.
 const PRIORITIES: u8 = 3;
 /// The assumed need of a task while nothing runs, in thousandths of a core.
@@ -48,25 +46,14 @@
         let ahead: f64 = ahead.map(|key| self.batches[key].waiting_work()).sum();
         let total = self.capacity(now);
         let capacity = (total - inflow_rate).max(total * MIN_LOW_SHARE);
-        if ahead + new_work <= 0.0 {
-            return 0;
-        }
+        // Without a worker nothing is done, however little waits: origins must not take that for a short wait.
         if capacity <= 0.0 {
             return self.config.lease.as_millis() as u32;
         }
-        ((ahead + new_work) / capacity) as u32
-    }
-
-    /// Returns whether a service has workers and all of them are in evacuated data centres.
-    fn all_evacuated(&self, service: &str) -> bool {
-        if self.evacuated.is_empty() {
-            return false;
+        if ahead + new_work <= 0.0 {
+            return 0;
         }
-        let workers = self.workers.values();
-        let mut workers = workers
-            .filter(|w| w.announcement.service == service)
-            .peekable();
-        workers.peek().is_some() && workers.all(|w| self.evacuated.contains(&w.announcement.dc))
+        ((ahead + new_work) / capacity) as u32
     }
 
     /// Returns how many tasks of a batch could start now.
@@ -81,7 +68,8 @@
     }
 
     /// Refuses a new job that could not end within its objective because of the work ahead of it, and returns whether it did.
-    /// A job whose tasks can all start now is never refused.
+    /// A job whose tasks can all start now is never refused. One that no worker here may take is returned for another
+    /// dispatcher.
     pub(crate) fn refuse_new(
         &mut self,
         now: Time,
@@ -94,11 +82,11 @@
         if fits_now || disabled.contains(Mechanism::Admission) {
             return false;
         }
-        let submitted = tasks.iter().map(|task| (task.index, task.submission));
-        if self.all_evacuated(&batch.order.service) {
-            self.refuse(now, batch, submitted, EVACUATED_RETRY_MS, out);
+        if self.is_unplaceable(now, batch) {
+            self.return_unplaced(now, batch, tasks, out);
             return true;
         }
+        let submitted = tasks.iter().map(|task| (task.index, task.submission));
         let rank = self.rank(BatchKey::default(), batch);
         let inflow_rate = if disabled.contains(Mechanism::Inflow) {
             0.0
@@ -157,33 +145,21 @@
         out.push(Output::Send(batch.origin, WorkMsg::Ended(vec![first])));
     }
 
-    /// Refuses queued jobs of which nothing has run and which can no longer end in time: their callers learn it at once, and
-    /// their capacity goes to jobs that can. While all workers of a service are in evacuated data centres, its waiting
-    /// jobs that may have run are given up too, with an unsure outcome.
+    /// Returns the waiting tasks that no worker here may take, and refuses queued jobs of which nothing has run and which
+    /// can no longer end in time: their callers learn it at once, and their capacity goes to jobs that can.
     pub(crate) fn shed(&mut self, now: Time, out: &mut Vec<Output>) {
-        if self.config.disabled.contains(Mechanism::Shedding) {
-            return;
-        }
         for key in self.queue.keys() {
-            let batch = &self.batches[key];
-            let all_waiting = batch.tasks.values().all(|t| t.state == TaskState::Waiting);
-            if !all_waiting {
+            if self.is_unplaceable(now, &self.batches[key]) {
+                self.return_unplaced_batch(now, key, out);
                 continue;
             }
-            let evacuated = self.all_evacuated(&batch.order.service);
-            if batch.started {
-                if evacuated {
-                    self.give_up_waiting(now, key);
-                }
+            let batch = &self.batches[key];
+            let all_waiting = batch.tasks.values().all(|t| t.state == TaskState::Waiting);
+            let disabled = self.config.disabled.contains(Mechanism::Shedding);
+            if batch.started || !all_waiting || disabled || meets_objective(now, batch, 0) {
                 continue;
             }
-            let wait = if evacuated {
-                EVACUATED_RETRY_MS
-            } else if meets_objective(now, batch, 0) {
-                continue;
-            } else {
-                self.wait_ms(now, self.queue.ahead(self.rank(key, batch)), 0.0, 0.0)
-            };
+            let wait = self.wait_ms(now, self.queue.ahead(self.rank(key, batch)), 0.0, 0.0);
             let batch = batch.clone();
             let submitted = batch.tasks.iter();
             let submitted = submitted.map(|(index, task)| (*index, task.submission));
@@ -192,15 +168,6 @@
         }
     }
 
-    /// Gives up the waiting tasks of a job that may have run, as unplaced.
-    fn give_up_waiting(&mut self, now: Time, key: BatchKey) {
-        self.dequeue(key);
-        let indices: Vec<u16> = self.batches[key].tasks.keys().copied().collect();
-        for index in indices {
-            self.finish_task(now, key, index, TaskEnd::Unplaced);
-        }
-    }
-
     /// Returns the load of a domain, by which other processes choose a dispatcher.
     #[must_use]
     pub fn load(&self, now: Time, domain: Domain) -> Load {
--- a/crates/celerywinch_pool/src/event.rs
+++ b/crates/celerywinch_pool/src/event.rs
@@ -58,6 +58,15 @@
         /// Number of steps of jobs that wait here.
         queued: usize,
     },
+    /// Tasks were returned, as no worker of this dispatcher may take them.
+    Unplaced {
+        /// The job.
+        job: JobId,
+        /// Its origin.
+        origin: InstanceId,
+        /// Number of returned tasks.
+        tasks: usize,
+    },
     /// A submission of another session was dropped: it was delayed on its way, and its tasks may be elsewhere.
     HeldUp {
         /// The origin.
@@ -197,6 +206,7 @@
             | Self::WorkerHeld { .. } => true,
             Self::RunEnded { how, .. } => *how == "done",
             Self::HeldUp { .. }
+            | Self::Unplaced { .. }
             | Self::GrantOver { .. }
             | Self::Refused { .. }
             | Self::Moved { .. }
--- a/crates/celerywinch_pool/src/job.rs
+++ b/crates/celerywinch_pool/src/job.rs
@@ -5,6 +5,7 @@
 
 use celerywinch_types::{
     Crashes, InstanceId, PriorRuns, RunNumber, Session, StepOrder, SubmissionNumber, TaskId, Time,
+    WorkerAnnouncement,
 };
 use slotmap::new_key_type;
 
@@ -75,6 +76,13 @@
         }
     }
 
+    /// Returns whether a worker offers the service and the label that the tasks need.
+    pub(crate) fn is_offered_by(&self, worker: &WorkerAnnouncement) -> bool {
+        let label = self.order.label.as_ref();
+        worker.service == self.order.service
+            && label.is_none_or(|label| worker.labels.contains(label))
+    }
+
     pub(crate) fn waiting_count(&self) -> usize {
         let tasks = self.tasks.values();
         tasks.filter(|t| t.state == TaskState::Waiting).count()
--- a/crates/celerywinch_pool/src/lib.rs
+++ b/crates/celerywinch_pool/src/lib.rs
@@ -32,6 +32,7 @@
 mod sent_ends;
 mod submit;
 mod takeover;
+mod unplaced;
 mod worker;
 
 pub use call::{Answer, Call, CallKey, EndedRow, Rejection, Request, RunEnd, RunningRow};
--- a/crates/celerywinch_pool/src/place.rs
+++ b/crates/celerywinch_pool/src/place.rs
@@ -130,13 +130,8 @@
 
     /// Returns whether a worker offers the service, the label and the free capacity that a task of the batch needs.
     pub(crate) fn can_run(&self, batch: &Batch, key: WorkerKey, worker: &Worker) -> bool {
-        let order = &batch.order;
-        let service = worker.announcement.service == order.service;
-        let label = order.label.as_ref();
-        let labelled = label.is_none_or(|label| worker.announcement.labels.contains(label));
-        service
-            && labelled
-            && worker.free().fits(order.need)
+        batch.is_offered_by(&worker.announcement)
+            && worker.free().fits(batch.order.need)
             && self.within_spread(batch, key, worker)
     }
 
--- a/crates/celerywinch_pool/src/pool.rs
+++ b/crates/celerywinch_pool/src/pool.rs
@@ -128,6 +128,8 @@
     /// Number of the resync that is pending with each origin, and of the last one sent to any.
     pub(crate) resyncs: BTreeMap<InstanceId, u64>,
     pub(crate) resync_count: u64,
+    /// The time of the first input.
+    pub(crate) first_input: Option<Time>,
     /// Number of inputs so far: a call sent during an input was sent after everything received in earlier ones.
     pub(crate) input_count: u64,
     /// Batches whose tasks are returned if they find no free capacity during the current input.
@@ -164,6 +166,7 @@
             shrunk: Vec::new(),
             resyncs: BTreeMap::new(),
             resync_count: 0,
+            first_input: None,
             input_count: 0,
             passing: Vec::new(),
         }
@@ -286,6 +289,7 @@
     /// Handles an input and appends the resulting actions to `out`.
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
         self.input_count += 1;
+        self.first_input.get_or_insert(now);
         match input {
             Input::Acquire(domain, fence) => self.acquire(now, domain, fence, out),
             Input::Resign(domain) => self.resign(now, domain, out),
--- a/crates/celerywinch_pool/src/sent_ends.rs
+++ b/crates/celerywinch_pool/src/sent_ends.rs
@@ -23,20 +23,17 @@
 
     /// Returns whether the end answers a task that is submitted again because the message may have been lost.
     ///
-    /// A result always does. `Full` (no capacity) and `Refused` do if the task was with this dispatcher all the time, so
-    /// that it cannot have started since. If another dispatcher had it in between, it may be running there.
+    /// A result always does. `Full` (no capacity), `Unplaced` and `Refused` do if the task was with this dispatcher all the
+    /// time, so that it cannot have started since. If another dispatcher had it in between, it may be running there.
     pub(crate) fn answers_resubmission(&self, origin: InstanceId, order: &TaskOrder) -> bool {
         match self.report.end {
             TaskEnd::Done | TaskEnd::Failed | TaskEnd::GivenUp => {
                 order.prior_runs != PriorRuns::None
             }
-            TaskEnd::Full | TaskEnd::Refused(_) => {
+            TaskEnd::Full | TaskEnd::Unplaced { .. } | TaskEnd::Refused(_) => {
                 self.origin == origin && self.report.submission >= order.first_submission
             }
-            TaskEnd::Returned { .. }
-            | TaskEnd::Undetermined
-            | TaskEnd::Superseded
-            | TaskEnd::Unplaced => false,
+            TaskEnd::Returned { .. } | TaskEnd::Undetermined | TaskEnd::Superseded => false,
         }
     }
 }
--- a/crates/celerywinch_types/src/fleet.rs
+++ b/crates/celerywinch_types/src/fleet.rs
@@ -281,8 +281,16 @@
         Refused(u32),
         /// Its caller has sent the job again to another origin, which gets the further reports.
         Superseded,
-        /// Not started, as no worker may take it at present; something of its job may have run.
-        Unplaced,
+        /// Not started: no worker of this dispatcher may take it at present, however long it waits. Another
+        /// dispatcher may have one.
+        Unplaced {
+            /// How often it has failed.
+            failures: u32,
+            /// The highest run number that may have been used for it.
+            run: RunNumber,
+            /// Whether something of its job may have run here.
+            started: bool,
+        },
     }
 
     /// Messages between the origins of jobs and the dispatchers of data centres.
@@ -395,11 +403,13 @@
     #[must_use]
     pub fn returns_task(&self) -> bool {
         match self.end {
-            TaskEnd::Full | TaskEnd::Returned { .. } | TaskEnd::Undetermined => true,
+            TaskEnd::Full
+            | TaskEnd::Returned { .. }
+            | TaskEnd::Undetermined
+            | TaskEnd::Unplaced { .. } => true,
             TaskEnd::Done
             | TaskEnd::Failed
             | TaskEnd::GivenUp
-            | TaskEnd::Unplaced
             | TaskEnd::Refused(_)
             | TaskEnd::Superseded => false,
         }
@@ -415,7 +425,7 @@
             | TaskEnd::Returned { .. }
             | TaskEnd::Undetermined
             | TaskEnd::Refused(_)
-            | TaskEnd::Unplaced => false,
+            | TaskEnd::Unplaced { .. } => false,
         }
     }
 }
