Judge starts in evacuated data centres by what a member was told

Its trace: data centre 1, where it is, is cut from 4.600 to 7.033 s; it is isolated from 7.000 to 11.744 s; data centre 0 is evacuated at 5.200 s; it starts tasks there from 11.202 s and stops at 11.744 s, with the first message that reaches it. It could not know, and the users' rule (EVAC) speaks of a machine in touch. The fixed bound of 6 s took every separation to be shorter.

--- a/crates/celerywinch_bench/src/members/world.rs
+++ b/crates/celerywinch_bench/src/members/world.rs
@@ -147,6 +147,8 @@
     /// Latest incarnation of each other member that a message was received from.
     latest_incarnations: BTreeMap<usize, u64>,
     pub(crate) backlog: Backlog,
+    /// Evacuations that the process knows of, and since when.
+    pub(crate) told_evacuations: BTreeMap<DataCentreId, Time>,
     outgoing: LinkDirection,
     incoming: LinkDirection,
     pub(crate) control: ControlTraffic,
@@ -246,6 +248,7 @@
                 deferred: Vec::new(),
                 latest_incarnations: BTreeMap::new(),
                 backlog: Backlog::default(),
+                told_evacuations: BTreeMap::new(),
                 outgoing: LinkDirection::default(),
                 incoming: LinkDirection::default(),
                 control: ControlTraffic::default(),
@@ -579,6 +582,8 @@
         self.schedule(self.now + TICK_INTERVAL, Event::Tick(index, incarnation));
         self.input(index, Input::ConfigVersion(1));
         let evacuations = self.evacuations_at_start(index);
+        self.members[index].told_evacuations.clear();
+        self.record_told(index, &evacuations);
         self.input(index, Input::Evacuations(evacuations));
         for worker in 0..self.workers.len() {
             let announcement = self.announcement(worker);
