Count an evacuation as told only if it is the one in force

Its trace: member 5 was told of an evacuation of data centre 2 before 8.7 s, learned from heartbeats at 8.742 s that it had ended (revisions 5 and 6), was isolated from 8.350 to 12.104 s, and started tasks there until 12.104 s, while the next evacuation of data centre 2 (8.650 s) could not reach it. The check took the earlier message for the later evacuation. A message now counts for the evacuation that was in force when it was sent; the bound of 3 s stays.

--- a/crates/celerywinch_bench/src/members/evacuations.rs
+++ b/crates/celerywinch_bench/src/members/evacuations.rs
@@ -80,18 +80,23 @@
         self.input(member, Input::Evacuations(evacuations));
     }
 
-    /// Records since when a member knows of each evacuation. One that no message can reach does not know of it.
+    /// Records since when a member knows of each evacuation that is in force. A member that no message can reach does not
+    /// know of it, even if it was told of an earlier one.
     pub(crate) fn record_told(&mut self, member: usize, evacuations: &Evacuations) {
         let now = self.now;
         let told = &mut self.members[member].told_evacuations;
         told.retain(|dc, _| evacuations.dcs.contains(dc));
         for dc in &evacuations.dcs {
-            told.entry(*dc).or_insert(now);
+            let since = self.acknowledged.since.get(dc);
+            let told = told.entry(*dc).or_insert(now);
+            if since.is_some_and(|since| *told < *since) {
+                *told = now;
+            }
         }
     }
 
-    /// Records a violation if the call starts a task in a data centre after the permitted delay since its evacuation was
-    /// acknowledged and `member` was told of it.
+    /// Records a violation if the call starts a task in a data centre after the permitted delay since `member` was told of
+    /// its evacuation.
     pub(crate) fn check_evacuated_start(&mut self, member: usize, index: usize, call: &Call) {
         let Request::Start { task, .. } = call.request else {
             return;
@@ -99,8 +104,8 @@
         let dc = DataCentreId(self.workers[index].dc);
         let since = self.acknowledged.since.get(&dc);
         let told = self.members[member].told_evacuations.get(&dc);
-        let known = since.zip(told).map(|(since, told)| *since.max(told));
-        if known.is_some_and(|known| self.now.since(known) > MAX_START_DELAY) {
+        let told = told.filter(|told| since.is_some_and(|since| *since <= **told));
+        if told.is_some_and(|told| self.now.since(*told) > MAX_START_DELAY) {
             let worker = self.workers[index].worker.id.clone();
             self.violations
                 .push(Violation::InEvacuatedDataCentre(task, worker));
