--- a/crates/celerywinch_types/src/mechanism.rs
+++ b/crates/celerywinch_types/src/mechanism.rs
@@ -42,12 +42,26 @@
         RetryTime,
         /// Keeps work in one data centre while that has capacity.
         Locality,
+        /// Has waiting tasks started by the first dispatcher that has free capacity.
+        LateBinding,
+        /// Reports free capacity by the size of the need, and chooses dispatchers by it.
+        SizeClasses,
+        /// Learns which share of the workers' capacity placement can use.
+        Efficiency,
+        /// Expects steps to take as long as the quantile of run times that their number of tasks reaches.
+        Quantiles,
+        /// Places tasks where they are expected to end first.
+        ExpectedEnd,
+        /// Suspects workers of being slow by the first run that takes too long.
+        Overstay,
+        /// Ranks entries that take over a shard by what they can carry.
+        CapacityRank,
     }
 }
 
 impl Mechanism {
     /// All mechanisms, with their names on the command line.
-    pub const ALL: [(Self, &'static str); 17] = [
+    pub const ALL: [(Self, &'static str); 24] = [
         (Self::Admission, "admission"),
         (Self::Shedding, "shedding"),
         (Self::Inflow, "inflow"),
@@ -65,6 +79,13 @@
         (Self::ShortListening, "short-listening"),
         (Self::RetryTime, "retry-time"),
         (Self::Locality, "locality"),
+        (Self::LateBinding, "late-binding"),
+        (Self::SizeClasses, "size-classes"),
+        (Self::Efficiency, "efficiency"),
+        (Self::Quantiles, "quantiles"),
+        (Self::ExpectedEnd, "expected-end"),
+        (Self::Overstay, "overstay"),
+        (Self::CapacityRank, "capacity-rank"),
     ];
 }
 
