Simulated members: spread of needs, kinds of workers, long tail, bursts of a class, swing by data centre

Cause: the loads of the new customers have tasks of about half a worker, workers of 0.6 to 1.6 times the usual speed in several sizes, run times with a long tail, bursts of one class and load that swings by data centre. The simulation played none but the first.

Change: LoadPlan gains cpu_spread, tail, class_bursts and swing, MembersOptions gains kinds; both have defaults, which the tests use in place of the fields they don't set. half_worker_load, uneven_load and uneven_workers give such loads.

--- a/crates/celerywinch_bench/src/members/callers.rs
+++ b/crates/celerywinch_bench/src/members/callers.rs
@@ -56,7 +56,7 @@
         let job = self.new_job(class, plan);
         self.jobs.push(job);
         self.submit(self.jobs.len() - 1);
-        let rate = plan.rate * self.options.load.factor(self.now);
+        let rate = plan.rate * self.options.load.factor(self.now, class);
         let wait = -(self.random.random_range(f64::MIN_POSITIVE..1.0f64)).ln() / rate;
         self.schedule(
             self.now + Duration::from_secs_f64(wait),
@@ -69,19 +69,31 @@
         self.random.random_range(1.0 - spread..1.0 + spread)
     }
 
+    /// Draws the factor of a run time: 1, or that of the long tail.
+    fn draw_tail(&mut self) -> f64 {
+        match self.options.load.tail {
+            Some(tail) if self.random.random_bool(tail.share) => tail.factor,
+            _ => 1.0,
+        }
+    }
+
     fn new_job(&mut self, class: usize, plan: ClassPlan) -> CallerJob {
         let base = f64::from(plan.task_ms) * self.jitter(JOB_SPREAD);
         let width = (f64::from(plan.mean_tasks) * self.jitter(JOB_SPREAD))
             .round()
             .max(1.0) as u16;
         let task_times: Vec<_> = (0..width)
-            .map(|_| Duration::from_secs_f64(base * self.jitter(TASK_SPREAD) / 1e3))
+            .map(|_| {
+                let task_ms = base * self.jitter(TASK_SPREAD) * self.draw_tail();
+                Duration::from_secs_f64(task_ms / 1e3)
+            })
             .collect();
         let chain = task_times.iter().max().copied().unwrap_or_default();
         let step = StepPlan {
             count: width,
             need: Resources {
-                cpu: (f64::from(self.options.load.cpu) * self.jitter(0.2)) as u32,
+                cpu: (f64::from(self.options.load.cpu) * self.jitter(self.options.load.cpu_spread))
+                    as u32,
                 memory: 64,
                 accelerators: 0,
             },
--- a/crates/celerywinch_bench/src/members/mod.rs
+++ b/crates/celerywinch_bench/src/members/mod.rs
@@ -20,7 +20,10 @@
 pub use faults::FaultPlan;
 pub use history::{Violation, overlaps};
 pub use links::ControlTraffic;
-pub use load::{ClassPlan, ClassStats, LoadPlan, Lull, REFERENCE_CPU, reference_classes};
+pub use load::{
+    ClassBurst, ClassPlan, ClassStats, LoadPlan, Lull, REFERENCE_CPU, Swing, Tail, WorkerKinds,
+    half_worker_load, reference_classes, uneven_load, uneven_workers,
+};
 pub use switches::{Switch, Switches};
 pub use workers::UnansweredCalls;
 pub use world::{MembersOptions, MembersReport, run};
--- a/crates/celerywinch_bench/src/members/switches.rs
+++ b/crates/celerywinch_bench/src/members/switches.rs
@@ -168,12 +168,11 @@
             load: LoadPlan {
                 classes: self.classes(),
                 cpu: REFERENCE_CPU,
-                burst: None,
                 lull: congested.then_some(lull),
+                ..LoadPlan::default()
             },
-            unanswered: None,
             faults: Some(self.faults(seed)),
-            follow: None,
+            ..MembersOptions::default()
         }
     }
 
--- a/crates/celerywinch_bench/src/members/workers.rs
+++ b/crates/celerywinch_bench/src/members/workers.rs
@@ -186,7 +186,7 @@
     /// Executes a call at a worker, and checks a start that the worker accepts.
     pub(crate) fn execute(&mut self, index: usize, call: &Call) -> Answer {
         let (need, run_time) = match &call.request {
-            Request::Start { task, .. } => self.work_for(*task),
+            Request::Start { task, .. } => self.work_for(*task, index),
             Request::Stop { .. } | Request::Poll { .. } => (Resources::default(), Duration::ZERO),
         };
         let now = self.workers[index].local(self.now);
@@ -211,11 +211,12 @@
         self.execute(index, &in_flight.call)
     }
 
-    /// Returns the resources and the run time of a task.
-    fn work_for(&self, task: TaskId) -> (Resources, Duration) {
+    /// Returns the resources of a task and its run time on a worker.
+    fn work_for(&self, task: TaskId, worker: usize) -> (Resources, Duration) {
         let job = self.jobs.iter().rev().find(|job| job.id == task.job);
         let job = job.expect("a task of a job");
         let run_time = job.task_times[usize::from(task.index)];
+        let run_time = run_time.div_f64(self.options.kinds.speed(worker));
         (job.plan.steps[0].need, run_time)
     }
 
--- a/crates/celerywinch_bench/src/members/world.rs
+++ b/crates/celerywinch_bench/src/members/world.rs
@@ -10,6 +10,7 @@
     DataCentreId, DisabledMechanisms, FleetHeartbeat, FleetMsg, Incarnation, InstanceId, JobId,
     Process, ProcessKind, Resources, TaskId, Time, TimerQueue, WallMs, WorkerAnnouncement, score,
 };
+use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -20,7 +21,7 @@
 use super::history::Violation;
 use super::lifecycle::AnnouncedState;
 use super::links::{ControlTraffic, LinkDirection, message_size};
-use super::load::{ClassStats, LoadPlan};
+use super::load::{ClassStats, LoadPlan, WorkerKinds};
 use super::partitions::IsolatedEntries;
 use super::refusals::Refusals;
 use super::resets::Resets;
@@ -47,8 +48,6 @@
 pub(crate) const START_WALL_MS: u64 = 1_700_000_000_000;
 /// Maximum error of wall clocks in runs with clock skew, in ms. In real deployments they jump by seconds.
 pub(crate) const MAX_SKEW_MS: u64 = 5_000;
-/// CPU of a worker, in thousandths of a core. Every third worker has 50% more.
-const WORKER_CPU: u32 = 32_000;
 
 /// Options of a run.
 #[derive(Clone, Debug, PartialEq)]
@@ -61,6 +60,8 @@
     pub entries: u32,
     /// Number of workers, spread over the data centres.
     pub workers: u32,
+    /// Speeds and sizes of the workers.
+    pub kinds: WorkerKinds,
     /// Maximum number of workers of one dispatcher.
     pub shard_size: usize,
     /// Mechanisms of dispatching that are disabled.
@@ -79,6 +80,27 @@
     pub follow: Option<JobId>,
 }
 
+impl Default for MembersOptions {
+    /// Returns the reference deployment, with one dispatcher and a load of 12 s.
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            dcs: 3,
+            entries: 7,
+            workers: 48,
+            kinds: WorkerKinds::default(),
+            shard_size: 80,
+            disabled: DisabledMechanisms::default(),
+            link_rate: None,
+            load_ms: 12_000,
+            load: LoadPlan::default(),
+            unanswered: None,
+            faults: None,
+            follow: None,
+        }
+    }
+}
+
 /// Result of a run.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct MembersReport {
@@ -256,13 +278,8 @@
             world.schedule(Time(0), Event::StartMember(index as usize));
         }
         for index in 0..world.options.workers {
-            let cpu = if index % 3 == 2 {
-                WORKER_CPU / 2 * 3
-            } else {
-                WORKER_CPU
-            };
             let capacity = Resources {
-                cpu,
+                cpu: world.options.kinds.cpu(index as usize),
                 memory: 65_536,
                 accelerators: 0,
             };
@@ -533,7 +550,8 @@
         self.members[to].incoming.transmit(at, bytes, rate)
     }
 
-    /// Picks a random entry that accepts new callers.
+    /// Picks a random entry that accepts new callers. With a swing, those of data centres with more load are picked more
+    /// often.
     pub(crate) fn pick_entry(&mut self) -> Option<usize> {
         let open = |host: &MemberHost| host.is_up() && !host.frozen && !host.leaving;
         let hosts = self.members.iter().enumerate();
@@ -541,6 +559,10 @@
         if open.is_empty() {
             return None;
         }
+        if let Some(swing) = &self.options.load.swing {
+            let weight = |index: &usize| swing.factor(self.now, self.members[*index].dc);
+            return open.choose_weighted(&mut self.random, weight).ok().copied();
+        }
         let pick = self.random.random_range(0..open.len());
         Some(open[pick])
     }
--- a/crates/celerywinch_bench/tests/members.rs
+++ b/crates/celerywinch_bench/tests/members.rs
@@ -20,12 +20,9 @@
         load: LoadPlan {
             classes: reference_classes(),
             cpu: REFERENCE_CPU,
-            burst: None,
-            lull: None,
+            ..LoadPlan::default()
         },
-        unanswered: None,
-        faults: None,
-        follow: None,
+        ..MembersOptions::default()
     }
 }
 
--- a/crates/celerywinch_bench/tests/members_control.rs
+++ b/crates/celerywinch_bench/tests/members_control.rs
@@ -21,12 +21,9 @@
         load: LoadPlan {
             classes: reference_classes(),
             cpu: 16_000,
-            burst: None,
-            lull: None,
+            ..LoadPlan::default()
         },
-        unanswered: None,
-        faults: None,
-        follow: None,
+        ..MembersOptions::default()
     }
 }
 
--- a/crates/celerywinch_bench/tests/members_divided.rs
+++ b/crates/celerywinch_bench/tests/members_divided.rs
@@ -26,12 +26,9 @@
         load: LoadPlan {
             classes: reference_classes().into_iter().map(scaled).collect(),
             cpu: 16_000,
-            burst: None,
-            lull: None,
+            ..LoadPlan::default()
         },
-        unanswered: None,
-        faults: None,
-        follow: None,
+        ..MembersOptions::default()
     }
 }
 
--- a/crates/celerywinch_bench/tests/members_links.rs
+++ b/crates/celerywinch_bench/tests/members_links.rs
@@ -29,11 +29,9 @@
             classes: reference_classes().into_iter().map(scaled).collect(),
             cpu: 16_000,
             burst: Some((4_000, 8_000, 1.2)),
-            lull: None,
+            ..LoadPlan::default()
         },
-        unanswered: None,
-        faults: None,
-        follow: None,
+        ..MembersOptions::default()
     }
 }
 
--- a/crates/celerywinch_bench/tests/members_lives.rs
+++ b/crates/celerywinch_bench/tests/members_lives.rs
@@ -29,12 +29,10 @@
         load: LoadPlan {
             classes,
             cpu: REFERENCE_CPU,
-            burst: None,
-            lull: None,
+            ..LoadPlan::default()
         },
-        unanswered: None,
         faults: Some(faults),
-        follow: None,
+        ..MembersOptions::default()
     })
 }
 
--- a/crates/celerywinch_bench/tests/members_unanswered.rs
+++ b/crates/celerywinch_bench/tests/members_unanswered.rs
@@ -21,16 +21,14 @@
         load: LoadPlan {
             classes: reference_classes(),
             cpu: REFERENCE_CPU,
-            burst: None,
-            lull: None,
+            ..LoadPlan::default()
         },
         unanswered: Some(UnansweredCalls {
             start_ms: 4_000,
             end_ms: 8_600,
             share: 0.055,
         }),
-        faults: None,
-        follow: None,
+        ..MembersOptions::default()
     }
 }
 
