--- a/crates/celerywinch_fleet/src/core/work.rs
+++ b/crates/celerywinch_fleet/src/core/work.rs
@@ -83,6 +83,8 @@
         self.metrics
             .evacuated_data_centres
             .set(self.member.evacuations().dcs.len() as i64);
+        let reservations = self.member.pool().waiting_reservations();
+        self.metrics.set_waiting_reservations(reservations);
         let runs = self.member.pool().evacuated_runs();
         self.metrics.evacuated_runs.set(runs as i64);
         let version = i64::try_from(self.config_sync.version()).unwrap_or(i64::MAX);
--- a/crates/celerywinch_fleet/src/metrics.rs
+++ b/crates/celerywinch_fleet/src/metrics.rs
@@ -6,8 +6,8 @@
 use celerywinch_metrics::Meter;
 use celerywinch_origin::JobEvent;
 use celerywinch_pool::{PoolEvent, Request};
-use celerywinch_types::{ConfigMsg, FleetMsg, JobEnd};
-use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
+use celerywinch_types::{ConfigMsg, DeclineReason, FleetMsg, JobEnd, WorkMsg};
+use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
 
 use crate::config_sync::ConfigSyncEvent;
 use crate::directory::AnnounceOutcome;
@@ -18,8 +18,14 @@
 /// Bucket bounds of the time to fetch a configuration, in seconds. It should be in force everywhere within 2 s.
 const DOCUMENT_SECONDS: &[f64] = &[0.01, 0.03, 0.1, 0.2, 0.5, 1.0, 1.5, 2.0, 4.0];
 
+/// Bucket bounds of the time from holding capacity to the start of tasks on it, in seconds. It is held for 0.04 s.
+const HOLD_SECONDS: &[f64] = &[0.001, 0.002, 0.003, 0.005, 0.01, 0.02, 0.03, 0.04];
+
+/// Label values of the priorities of waiting reservations.
+const PRIORITY_LABELS: [&str; 3] = ["0", "1", "2"];
+
 /// Label values for the kinds of messages to other processes.
-const MESSAGE_KINDS: [&str; 9] = [
+const MESSAGE_KINDS: [&str; 13] = [
     "heartbeat",
     "contacts",
     "log",
@@ -29,6 +35,10 @@
     "work",
     "learned",
     "crashes",
+    "reserve",
+    "offer",
+    "release",
+    "decline",
 ];
 
 /// The counters, gauges and histograms. All clones share them.
@@ -51,6 +61,10 @@
     announced: IntCounterVec,
     pub(crate) late_answers: IntCounter,
     pub(crate) rejected_streams: IntCounter,
+    offers: IntCounterVec,
+    declined: IntCounterVec,
+    hold_seconds: Histogram,
+    waiting_reservations: IntGaugeVec,
     documents: IntCounter,
     document_bytes: IntCounter,
     document_seconds: Histogram,
@@ -125,6 +139,26 @@
                 "rejected_streams_total",
                 "Streams rejected, as another process counts as the current one of their instance.",
             )?,
+            offers: meter.counter_vec(
+                "offers_total",
+                "Offers of capacity to tasks that wait at their origins, and what became of them.",
+                "what",
+            )?,
+            declined: meter.counter_vec(
+                "reservations_declined_total",
+                "Reservations declined by this dispatcher.",
+                "why",
+            )?,
+            hold_seconds: meter.histogram(
+                "hold_seconds",
+                "Seconds from holding capacity for tasks to their submission.",
+                HOLD_SECONDS,
+            )?,
+            waiting_reservations: meter.gauge_vec(
+                "waiting_reservations",
+                "Waiting reservations at this dispatcher, by priority.",
+                "priority",
+            )?,
             documents: meter.counter(
                 "documents_total",
                 "Transfers of the configuration started to other processes.",
@@ -179,7 +213,28 @@
                 self.lost_workers.with_label_values(&[why.label()]).inc()
             }
             PoolEvent::Acquired { .. } | PoolEvent::Resigned { .. } => self.changes.inc(),
+            PoolEvent::Offered { .. } => self.count_offer("made"),
+            PoolEvent::OfferUsed { took, .. } => {
+                self.count_offer("used");
+                let took = Duration::from_millis((*took).into());
+                self.hold_seconds.observe(took.as_secs_f64());
+            }
+            PoolEvent::OfferExpired { .. } => self.count_offer("expired"),
+            PoolEvent::Released { unused, .. } => {
+                if *unused > 0 {
+                    self.count_offer("returned");
+                }
+            }
+            PoolEvent::Declined { reason, .. } => {
+                let why = match reason {
+                    DeclineReason::Late(_) => "late",
+                    DeclineReason::Unplaced => "unplaced",
+                    DeclineReason::NotOwner => "not_owner",
+                };
+                self.declined.with_label_values(&[why]).inc();
+            }
             PoolEvent::Queued { .. }
+            | PoolEvent::Reserved { .. }
             | PoolEvent::Passed { .. }
             | PoolEvent::Unplaced { .. }
             | PoolEvent::HeldUp { .. }
@@ -190,6 +245,19 @@
         }
     }
 
+    fn count_offer(&self, what: &str) {
+        self.offers.with_label_values(&[what]).inc();
+    }
+
+    /// Sets the number of waiting reservations for priority 0, 1, and 2 or more.
+    pub(crate) fn set_waiting_reservations(&self, counts: [usize; 3]) {
+        for (label, count) in PRIORITY_LABELS.iter().zip(counts) {
+            let count = i64::try_from(count).unwrap_or(i64::MAX);
+            let gauge = self.waiting_reservations.with_label_values(&[*label]);
+            gauge.set(count);
+        }
+    }
+
     /// Counts the answer to a job and its time.
     pub(crate) fn origin_event(&self, event: &JobEvent) {
         if let JobEvent::Answered { end, took, .. } = event {
@@ -214,7 +282,19 @@
             FleetMsg::Keeper(_) => MESSAGE_KINDS[3],
             FleetMsg::Workers(_) => MESSAGE_KINDS[4],
             FleetMsg::Config(_) => MESSAGE_KINDS[5],
-            FleetMsg::Work(_) => MESSAGE_KINDS[6],
+            FleetMsg::Work(msg) => match msg {
+                WorkMsg::Reserve(_) => MESSAGE_KINDS[9],
+                WorkMsg::Offer(_) => MESSAGE_KINDS[10],
+                WorkMsg::Release(_) => MESSAGE_KINDS[11],
+                WorkMsg::Decline(_) => MESSAGE_KINDS[12],
+                WorkMsg::Submit(_)
+                | WorkMsg::Cancel { .. }
+                | WorkMsg::Drop { .. }
+                | WorkMsg::Ended(_)
+                | WorkMsg::Crashed(..)
+                | WorkMsg::Resync(_)
+                | WorkMsg::ResyncDone { .. } => MESSAGE_KINDS[6],
+            },
             FleetMsg::Learned(_) => MESSAGE_KINDS[7],
             FleetMsg::Crashes(_) | FleetMsg::ProbeQueues(_) => MESSAGE_KINDS[8],
         };
--- a/crates/celerywinch_member/src/member.rs
+++ b/crates/celerywinch_member/src/member.rs
@@ -685,10 +685,16 @@
             WorkMsg::Submit(_)
             | WorkMsg::Cancel { .. }
             | WorkMsg::Drop { .. }
-            | WorkMsg::ResyncDone { .. } => {
+            | WorkMsg::ResyncDone { .. }
+            | WorkMsg::Reserve(_)
+            | WorkMsg::Release(_) => {
                 self.pool_input(now, PoolInput::Work(from, msg), out);
             }
-            WorkMsg::Ended(_) | WorkMsg::Crashed(..) | WorkMsg::Resync(_) => {
+            WorkMsg::Ended(_)
+            | WorkMsg::Crashed(..)
+            | WorkMsg::Resync(_)
+            | WorkMsg::Offer(_)
+            | WorkMsg::Decline(_) => {
                 self.origin_input(now, OriginInput::Work(from, msg), out);
             }
         }
@@ -737,7 +743,7 @@
         for output in outputs {
             match output {
                 celerywinch_origin::Output::Send(to, msg) => {
-                    if matches!(msg, WorkMsg::Submit(_)) {
+                    if matches!(msg, WorkMsg::Submit(_) | WorkMsg::Reserve(_)) {
                         self.prepare_submission(now, to, out);
                     }
                     self.send_work(to, msg, out);
--- a/crates/celerywinch_metrics/src/lib.rs
+++ b/crates/celerywinch_metrics/src/lib.rs
@@ -3,8 +3,8 @@
 //! The names of all metrics start with `celerywinch_`.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// A registry of metrics that are encoded together; all clones share it.
@@ -62,6 +62,22 @@
         Ok(gauge)
     }
 
+    /// Registers a set of gauges that differ in one label.
+    ///
+    /// # Errors
+    ///
+    /// The name is invalid or already in use.
+    pub fn gauge_vec(
+        &self,
+        name: &str,
+        help: &str,
+        label: &str,
+    ) -> prometheus::Result<IntGaugeVec> {
+        let gauge_vec = IntGaugeVec::new(Opts::new(name, help), &[label])?;
+        self.registry.register(Box::new(gauge_vec.clone()))?;
+        Ok(gauge_vec)
+    }
+
     /// Registers a histogram with the upper bounds of its buckets.
     ///
     /// # Errors
--- a/crates/celerywinch_origin/src/choice.rs
+++ b/crates/celerywinch_origin/src/choice.rs
@@ -4,6 +4,8 @@
 
 use celerywinch_types::{DataCentreId, Domain, InstanceId, JobId, Load, score};
 
+use crate::job::Job;
+
 /// Time added to the expected wait at a dispatcher of another data centre when all are full, in ms: two messages between
 /// data centres, and the load that other origins send it at the same moment.
 const REMOTE_PENALTY_MS: u32 = 15;
@@ -12,6 +14,10 @@
 /// Each attempt costs up to two messages between data centres (3 ms) and processor time. In the simulation of a divided
 /// deployment, 927 of 1,000 jobs of a burst end in time with 3, 913 with 2 and 911 with 6.
 const MAX_RETURNS: usize = 3;
+/// The same number where tasks without room are reserved at several dispatchers.
+const MAX_RETURNS_BEFORE_RESERVING: usize = 1;
+/// Number of dispatchers that have a reservation for the same tasks.
+const RESERVED_AT: usize = 6;
 
 /// The dispatcher of a domain.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,6 +52,24 @@
     pub(crate) step: u16,
     /// Dispatchers of which no worker may take the tasks of a step.
     pub(crate) unplaced: &'a BTreeSet<(u16, InstanceId)>,
+    /// Whether the tasks may be reserved at several dispatchers.
+    pub(crate) reservable: bool,
+}
+
+impl<'a> Request<'a> {
+    /// Returns the request for the pending tasks of a step. Their number is not known yet, and they are not reservable.
+    pub(crate) fn new(dc: DataCentreId, job: &'a Job, step: u16) -> Self {
+        Self {
+            dc,
+            job: job.id,
+            priority: job.queue.priority,
+            tasks: 0,
+            full: &job.full,
+            step,
+            unplaced: &job.unplaced,
+            reservable: false,
+        }
+    }
 }
 
 /// The dispatcher chosen, and how the tasks are submitted to it.
@@ -55,6 +79,17 @@
     pub(crate) holder: Holder,
     /// Whether the dispatcher returns tasks that it cannot start at once.
     pub(crate) no_wait: bool,
+    /// The largest number of tasks that are submitted.
+    pub(crate) most: usize,
+}
+
+/// What is done with tasks.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Route {
+    /// They are submitted to a dispatcher.
+    Submit(Choice),
+    /// They stay here, and several dispatchers get a reservation for them.
+    Reserve,
 }
 
 /// A dispatcher, with the sum over all of its domains.
@@ -76,16 +111,16 @@
 /// return tasks that they cannot start at once, and a job is refused, or waits, only after several had no room for it.
 /// With 350 workers under 16 dispatchers and a burst of 1.8 times the usual load, 927 of 1,000 jobs end in time with this
 /// rule and 813 without it.
-pub(crate) fn choose(holders: &[Holder], request: &Request) -> Option<Choice> {
-    let mut all = candidates(holders, request.dc);
-    all.retain(|c| {
-        let key = (request.step, c.holder.instance);
-        !request.unplaced.contains(&key)
-    });
-    let single = all.len() == 1;
-    if all.iter().any(|c| c.holder.preferred) {
-        all.retain(|c| c.holder.preferred);
-    }
+pub(crate) fn choose(holders: &[Holder], request: &Request) -> Option<Route> {
+    let known = placeable(holders, request);
+    let single = known.len() == 1;
+    let all = preferred(known);
+    let reserves = request.reservable && all.len() > 1;
+    let max_returns = if reserves {
+        MAX_RETURNS_BEFORE_RESERVING
+    } else {
+        MAX_RETURNS
+    };
     let untried = |c: &&Candidate| !request.full.contains(&c.holder.instance);
     let with_room = all.iter().filter(|c| c.free > 0).filter(untried);
     let mut with_room: Vec<_> = with_room.copied().collect();
@@ -99,22 +134,64 @@
         .iter()
         .max_by_key(|c| (c.free.min(request.tasks), c.local, c.free));
     if let Some(best) = best
-        && (request.full.len() < MAX_RETURNS || single)
+        && (request.full.len() < max_returns || single)
     {
-        return Some(Choice {
+        return Some(Route::Submit(Choice {
             holder: best.holder,
             no_wait: !single,
-        });
+            most: usize::MAX,
+        }));
+    }
+    if reserves {
+        return Some(Route::Reserve);
     }
-    let class = usize::from(request.priority).min(2);
-    let wait =
-        |c: &&Candidate| c.holder.load.wait[class] + if c.local { 0 } else { REMOTE_PENALTY_MS };
     let drawn = draw_two(all, request);
-    let first = drawn.iter().min_by_key(wait)?;
-    Some(Choice {
+    let first = drawn.iter().min_by_key(|c| expected_wait(c, request))?;
+    Some(Route::Submit(Choice {
         holder: first.holder,
         no_wait: false,
-    })
+        most: usize::MAX,
+    }))
+}
+
+/// Returns the dispatchers at which tasks are reserved: those with the shortest expected waits.
+pub(crate) fn reservation_targets(holders: &[Holder], request: &Request) -> Vec<InstanceId> {
+    let mut all = preferred(placeable(holders, request));
+    all.sort_by_key(|c| {
+        let drawn = score(request.job.0, u64::from(c.holder.instance.0));
+        (expected_wait(c, request), drawn)
+    });
+    all.truncate(RESERVED_AT);
+    all.iter().map(|c| c.holder.instance).collect()
+}
+
+/// Returns the expected wait at a dispatcher, in ms.
+fn expected_wait(candidate: &Candidate, request: &Request) -> u32 {
+    let class = usize::from(request.priority).min(2);
+    let penalty = if candidate.local {
+        0
+    } else {
+        REMOTE_PENALTY_MS
+    };
+    candidate.holder.load.wait[class] + penalty
+}
+
+/// Returns the dispatchers that have a worker which may take the tasks.
+fn placeable(holders: &[Holder], request: &Request) -> Vec<Candidate> {
+    let mut all = candidates(holders, request.dc);
+    all.retain(|c| {
+        let key = (request.step, c.holder.instance);
+        !request.unplaced.contains(&key)
+    });
+    all
+}
+
+/// Returns the preferred ones of the dispatchers, or all if none is.
+fn preferred(mut all: Vec<Candidate>) -> Vec<Candidate> {
+    if all.iter().any(|c| c.holder.preferred) {
+        all.retain(|c| c.holder.preferred);
+    }
+    all
 }
 
 fn candidates(holders: &[Holder], own: DataCentreId) -> Vec<Candidate> {
--- a/crates/celerywinch_origin/src/event.rs
+++ b/crates/celerywinch_origin/src/event.rs
@@ -1,6 +1,6 @@
 //! Events of jobs, written to the structured log.
 
-use celerywinch_types::{Domain, InstanceId, JobEnd, JobId};
+use celerywinch_types::{DeclineReason, Domain, InstanceId, JobEnd, JobId};
 use serde::Serialize;
 
 /// An event of a job, with the figures that it depended on.
@@ -40,6 +40,31 @@
         /// Number of tasks.
         tasks: usize,
     },
+    /// Tasks without capacity were reserved at dispatchers.
+    Reserved {
+        /// The job.
+        job: JobId,
+        /// Number of dispatchers.
+        dispatchers: usize,
+        /// Number of tasks.
+        tasks: usize,
+    },
+    /// The reservations of a step were released.
+    Released {
+        /// The job.
+        job: JobId,
+        /// Number of dispatchers.
+        dispatchers: usize,
+    },
+    /// A dispatcher has declined a reservation.
+    Declined {
+        /// The job.
+        job: JobId,
+        /// The dispatcher.
+        dispatcher: InstanceId,
+        /// Why.
+        reason: DeclineReason,
+    },
     /// A dispatcher with open tasks of the job was lost.
     DispatcherLost {
         /// The job.
@@ -70,12 +95,13 @@
     #[must_use]
     pub fn is_routine(&self) -> bool {
         match self {
-            Self::Submitted { .. } => true,
+            Self::Submitted { .. } | Self::Reserved { .. } | Self::Released { .. } => true,
             Self::HandedIn { unsure, .. } => *unsure == 0,
             Self::Answered { end, .. } => *end == JobEnd::Completed,
-            Self::Resubmitted { .. } | Self::DispatcherLost { .. } | Self::CallerLeft { .. } => {
-                false
-            }
+            Self::Resubmitted { .. }
+            | Self::Declined { .. }
+            | Self::DispatcherLost { .. }
+            | Self::CallerLeft { .. } => false,
         }
     }
 }
--- a/crates/celerywinch_origin/src/job.rs
+++ b/crates/celerywinch_origin/src/job.rs
@@ -9,6 +9,7 @@
 };
 
 use crate::CallerId;
+use crate::reservations::StepReservations;
 
 /// What is known of a run of a task that may still be going on.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -100,6 +101,8 @@
     pub(crate) full: Vec<InstanceId>,
     /// Dispatchers of which no worker may take the tasks of a step.
     pub(crate) unplaced: BTreeSet<(u16, InstanceId)>,
+    /// Reservations by step.
+    pub(crate) reservations: BTreeMap<u16, StepReservations>,
 }
 
 impl Job {
@@ -135,10 +138,11 @@
             maybe_ran: false,
             full: Vec::new(),
             unplaced: BTreeSet::new(),
+            reservations: BTreeMap::new(),
         }
     }
 
-    fn is_step_done(&self, step: u16) -> bool {
+    pub(crate) fn is_step_done(&self, step: u16) -> bool {
         let mut tasks = self.tasks.range((step, 0)..=(step, u16::MAX));
         tasks.all(|(_, task)| task.state == TaskState::Done)
     }
--- a/crates/celerywinch_origin/src/lib.rs
+++ b/crates/celerywinch_origin/src/lib.rs
@@ -13,6 +13,7 @@
 mod job;
 mod lost;
 mod origin;
+mod reservations;
 
 pub use choice::Holder;
 pub use event::JobEvent;
--- a/crates/celerywinch_origin/src/lost.rs
+++ b/crates/celerywinch_origin/src/lost.rs
@@ -126,6 +126,7 @@
     /// Handles the reset of the link to a dispatcher: what was submitted and what was taken back may not have arrived.
     pub(crate) fn link_reset(&mut self, now: Time, peer: InstanceId, out: &mut Vec<Output>) {
         self.resubmit(now, peer, out);
+        self.doubt_reservations(peer);
         let cancels = self.sent_cancels.to(now, peer);
         out.extend(cancels.map(|msg| Output::Send(peer, msg)));
     }
@@ -202,6 +203,7 @@
     pub(crate) fn peer_lost(&mut self, now: Time, peer: InstanceId, out: &mut Vec<Output>) {
         self.holders.retain(|holder| holder.instance != peer);
         self.sessions.entry(peer).or_default().0 += 1;
+        self.forget_reservations(|dispatcher| dispatcher == peer);
         let run = PossibleRun {
             domains: self.owned.get(&peer).cloned().unwrap_or_default(),
             prior_runs: PriorRuns::Unknown,
--- a/crates/celerywinch_origin/src/origin.rs
+++ b/crates/celerywinch_origin/src/origin.rs
@@ -6,13 +6,14 @@
 
 use celerywinch_types::{
     DataCentreId, DisabledMechanisms, Domain, InstanceId, JobEnd, JobId, JobPlan, Mechanism,
-    OwnedDomain, PriorRuns, Queue, RunNumber, Session, SubmissionNumber, TaskEnd, TaskReport, Time,
-    WorkMsg, domain, identifier,
+    OwnedDomain, PriorRuns, Queue, ReservationNumber, ReservedStep, RunNumber, Session,
+    SubmissionNumber, TaskEnd, TaskReport, Time, WorkMsg, domain, identifier,
 };
 
-use crate::choice::{Choice, Request, choose};
+use crate::choice::{Choice, Request, Route, choose};
 use crate::job::{Job, PossibleRun, TaskState};
 use crate::lost::{LOST_RUN_TIMEOUT, SentCancels, Withdrawals};
+use crate::reservations::Outlook;
 use crate::{Holder, JobEvent};
 
 /// How long a new job waits while no dispatcher is known. A handoff takes up to 500 ms, by which time most latency
@@ -83,8 +84,8 @@
 /// The jobs of the callers connected to one entry.
 #[derive(Debug)]
 pub struct Origin {
-    dc: DataCentreId,
-    disabled: DisabledMechanisms,
+    pub(crate) dc: DataCentreId,
+    pub(crate) disabled: DisabledMechanisms,
     pub(crate) holders: Vec<Holder>,
     holders_incomplete: bool,
     /// The domains that each dispatcher was last known to own.
@@ -101,6 +102,10 @@
     pub(crate) sent_cancels: SentCancels,
     /// How often each dispatcher was reported as lost.
     pub(crate) sessions: BTreeMap<InstanceId, Session>,
+    /// Number of the last reservation.
+    pub(crate) last_reservation: ReservationNumber,
+    /// Reservations that are released after the current input, by dispatcher.
+    pub(crate) unsent_releases: BTreeMap<InstanceId, Vec<ReservedStep>>,
 }
 
 impl Origin {
@@ -120,6 +125,8 @@
             last_submission: SubmissionNumber::FIRST,
             sent_cancels: SentCancels::default(),
             sessions: BTreeMap::new(),
+            last_reservation: ReservationNumber::default(),
+            unsent_releases: BTreeMap::new(),
         }
     }
 
@@ -173,6 +180,7 @@
             Input::Tick => self.tick(now, out),
         }
         self.submit_pending(now, out);
+        self.send_releases(out);
     }
 
     fn set_holders(&mut self, holders: Vec<Holder>) {
@@ -189,6 +197,8 @@
         }
         self.holders = holders;
         self.holders_incomplete = false;
+        let present: BTreeSet<_> = self.holders.iter().map(|holder| holder.instance).collect();
+        self.forget_reservations(|dispatcher| !present.contains(&dispatcher));
     }
 
     fn set_loads(&mut self, dispatcher: InstanceId, owned_domains: &[OwnedDomain]) {
@@ -208,10 +218,12 @@
         self.holders_incomplete
     }
 
-    /// Returns the dispatchers that have tasks of this origin, or may have.
+    /// Returns the dispatchers that have tasks or reservations of this origin, or may have tasks.
     #[must_use]
     pub fn dispatchers(&self) -> BTreeSet<InstanceId> {
-        self.jobs.values().flat_map(Job::dispatchers).collect()
+        let jobs = self.jobs.values();
+        jobs.flat_map(|job| job.dispatchers().into_iter().chain(job.reserved_at()))
+            .collect()
     }
 
     fn submit(&mut self, now: Time, caller: CallerId, new: NewJob, out: &mut Vec<Output>) {
@@ -253,6 +265,7 @@
     fn drop_job(&mut self, now: Time, id: JobId, out: &mut Vec<Output>) -> Option<Job> {
         self.pending.remove(&id);
         let job = self.jobs.remove(&id)?;
+        self.release_job(&job, out);
         for dispatcher in job.dispatchers() {
             self.cancel(now, dispatcher, id, out);
         }
@@ -290,14 +303,19 @@
             }
             WorkMsg::Resync(request) => {
                 self.resubmit(now, from, out);
+                self.doubt_reservations(from);
                 let unsure = self.lost_tasks(from);
                 out.push(Output::Send(from, WorkMsg::ResyncDone { request, unsure }));
             }
+            WorkMsg::Offer(offers) => self.handle_offers(now, from, &offers, out),
+            WorkMsg::Decline(declined) => self.handle_declined(from, &declined, out),
             // Sent to dispatchers, never to origins.
             WorkMsg::Submit(_)
             | WorkMsg::Cancel { .. }
             | WorkMsg::Drop { .. }
-            | WorkMsg::ResyncDone { .. } => {}
+            | WorkMsg::ResyncDone { .. }
+            | WorkMsg::Reserve(_)
+            | WorkMsg::Release(_) => {}
         }
     }
 
@@ -334,6 +352,7 @@
                     // it once more: the cancellation of a job does not go to dispatchers of completed tasks.
                     self.withdraw(now, Withdrawals::of(from, id), out);
                 }
+                self.forget_full(id.job, id.step);
                 self.pending.insert(id.job);
                 self.finish_if_done(now, id.job, out);
             }
@@ -357,6 +376,7 @@
                     job.full.push(from);
                 }
                 self.pending.insert(id.job);
+                self.doubt_reservation(id.job, id.step, from);
                 self.mark_full(from);
             }
             TaskEnd::Unplaced {
@@ -407,7 +427,7 @@
 
     /// Removes a dispatcher that returned tasks from the list of holders until the next heartbeat reports the owner of its
     /// domain. It no longer owns the domain, and until then would get the tasks and return them over and over.
-    fn await_holder(&mut self, job: JobId, from: InstanceId) {
+    pub(crate) fn await_holder(&mut self, job: JobId, from: InstanceId) {
         self.pending.insert(job);
         self.holders.retain(|holder| holder.instance != from);
         self.holders_incomplete = true;
@@ -441,6 +461,7 @@
                 self.answer(now, id, JobEnd::Unsure, out);
             }
         }
+        self.renew_reservations(now, out);
     }
 
     /// Submits all pending tasks.
@@ -488,6 +509,7 @@
             let choice = Choice {
                 holder,
                 no_wait: false,
+                most: usize::MAX,
             };
             self.send_tasks(now, id, step, choice, resumable, out);
         }
@@ -502,29 +524,29 @@
             .clone()
             .any(|(_, t)| matches!(t.state, TaskState::MaybeRunning(..)));
         if pending == 0 {
+            self.release_step(id, step, out);
             return remaining;
         }
-        let count = u32::try_from(pending).unwrap_or(u32::MAX);
+        match self.outlook(now, id, step, out) {
+            Outlook::Unreserved => {}
+            Outlook::Waiting => return remaining,
+            Outlook::Declined(shortest) => {
+                self.refuse_declined(now, id, shortest, out);
+                return false;
+            }
+        }
+        let job = &self.jobs[&id];
         let request = Request {
-            dc: self.dc,
-            job: id,
-            priority: job.queue.priority,
-            tasks: count,
-            full: &job.full,
-            step,
-            unplaced: &job.unplaced,
+            tasks: u32::try_from(pending).unwrap_or(u32::MAX),
+            reservable: self.binds_late() && job.may_reserve(step),
+            ..Request::new(self.dc, job, step)
         };
         match choose(&self.holders, &request) {
-            Some(choice) => {
-                self.send_tasks(
-                    now,
-                    id,
-                    step,
-                    choice,
-                    |state| *state == TaskState::Pending,
-                    out,
-                );
+            Some(Route::Submit(choice)) => {
+                let is_pending = |state: &TaskState| *state == TaskState::Pending;
+                self.send_tasks(now, id, step, choice, is_pending, out);
             }
+            Some(Route::Reserve) => self.reserve_step(now, id, step, out),
             // The owner of some domain is about to be determined.
             None if self.holders_incomplete => remaining = true,
             None => {
@@ -546,7 +568,8 @@
         self.answer(now, id, end, out);
     }
 
-    fn send_tasks(
+    /// Submits those of the tasks of a step that are in a wanted state.
+    pub(crate) fn send_tasks(
         &mut self,
         now: Time,
         id: JobId,
@@ -565,7 +588,7 @@
         let mut orders = Vec::new();
         let mut withdrawals = Withdrawals::default();
         for ((_, index), task) in job.tasks.range_mut((step, 0)..=(step, u16::MAX)) {
-            if wanted(&task.state) {
+            if orders.len() < choice.most && wanted(&task.state) {
                 let run = match &mut task.state {
                     TaskState::MaybeRunning(run) => {
                         if run.dispatcher != Some(holder.instance) {
--- a/crates/celerywinch_pool/src/admission.rs
+++ b/crates/celerywinch_pool/src/admission.rs
@@ -9,6 +9,7 @@
 use crate::PoolEvent;
 use crate::job::{Batch, BatchKey, TaskState};
 use crate::pool::{Output, Pool};
+use crate::queue::Entry;
 
 /// The share of the processors that placement can fill. The rest of a worker is often too small for another task.
 const PACKING_EFFICIENCY: f64 = 0.85;
@@ -18,7 +19,7 @@
 /// The shortest retry delay that a refused caller gets, in ms. Otherwise it gets the time until the work ahead is done.
 const MIN_RETRY_MS: u32 = 100;
 /// Number of priorities that are reported separately in the load of a domain.
-const PRIORITIES: u8 = 3;
+pub(crate) const PRIORITIES: u8 = 3;
 /// The assumed need of a task while nothing runs, in thousandths of a core.
 const DEFAULT_MILLICORES: u32 = 8_000;
 
@@ -34,16 +35,16 @@
         usable.map(speed).sum::<f64>() * PACKING_EFFICIENCY
     }
 
-    /// Estimates the time in ms until the waiting work of the batches `ahead` and `new_work` is done, while `inflow_rate` work
+    /// Estimates the time in ms until the waiting work of the entries `ahead` and `new_work` is done, while `inflow_rate` work
     /// of higher priority arrives each ms.
-    fn wait_ms(
+    pub(crate) fn wait_ms(
         &self,
         now: Time,
-        ahead: impl Iterator<Item = BatchKey>,
+        ahead: impl Iterator<Item = Entry>,
         new_work: f64,
         inflow_rate: f64,
     ) -> u32 {
-        let ahead: f64 = ahead.map(|key| self.batches[key].waiting_work()).sum();
+        let ahead: f64 = ahead.map(|entry| self.waiting_work(entry)).sum();
         let total = self.capacity(now);
         let capacity = (total - inflow_rate).max(total * MIN_LOW_SHARE);
         // Without a worker nothing is done, however little waits: origins must not take that for a short wait.
@@ -57,7 +58,7 @@
     }
 
     /// Returns how many tasks of a batch could start now.
-    fn free_slots(&self, now: Time, batch: &Batch) -> usize {
+    pub(crate) fn free_slots(&self, now: Time, batch: &Batch) -> usize {
         let workers = self
             .workers
             .iter()
@@ -88,11 +89,7 @@
         }
         let submitted = tasks.iter().map(|task| (task.index, task.submission));
         let rank = self.rank(BatchKey::default(), batch);
-        let inflow_rate = if disabled.contains(Mechanism::Inflow) {
-            0.0
-        } else {
-            self.inflow.rate_above(now, batch.order.priority)
-        };
+        let inflow_rate = self.inflow_above(now, batch.order.priority);
         let new_work = batch.work_of(tasks.len());
         let wait = self.wait_ms(now, self.queue.ahead(rank), new_work, inflow_rate);
         if meets_objective(now, batch, wait) {
@@ -108,6 +105,24 @@
         true
     }
 
+    /// Returns the rate at which work of a higher priority is expected to arrive, in thousandths of a core.
+    pub(crate) fn inflow_above(&self, now: Time, priority: u8) -> f64 {
+        if self.config.disabled.contains(Mechanism::Inflow) {
+            0.0
+        } else {
+            self.inflow.rate_above(now, priority)
+        }
+    }
+
+    /// Returns the retry delay of a caller that is refused because of a wait, in ms.
+    pub(crate) fn retry_ms(&self, wait: u32) -> u32 {
+        if self.config.disabled.contains(Mechanism::RetryTime) {
+            MIN_RETRY_MS
+        } else {
+            wait.max(MIN_RETRY_MS)
+        }
+    }
+
     /// Refuses a job. `submitted` are the tasks of the step with the numbers of the submissions that are refused.
     fn refuse(
         &mut self,
@@ -117,11 +132,7 @@
         wait: u32,
         out: &mut Vec<Output>,
     ) {
-        let retry_ms = if self.config.disabled.contains(Mechanism::RetryTime) {
-            MIN_RETRY_MS
-        } else {
-            wait.max(MIN_RETRY_MS)
-        };
+        let retry_ms = self.retry_ms(wait);
         let reports = submitted.map(|(index, submission)| TaskReport {
             task: batch.task_id(index),
             submission,
@@ -148,7 +159,14 @@
     /// Returns the waiting tasks that no worker here may take, and refuses queued jobs of which nothing has run and which
     /// can no longer end in time: their callers learn it at once, and their capacity goes to jobs that can.
     pub(crate) fn shed(&mut self, now: Time, out: &mut Vec<Output>) {
-        for key in self.queue.keys() {
+        for entry in self.queue.entries() {
+            let key = match entry {
+                Entry::Batch(key) => key,
+                Entry::Reservation(key) => {
+                    self.shed_reservation(now, key, out);
+                    continue;
+                }
+            };
             if self.is_unplaceable(now, &self.batches[key]) {
                 self.return_unplaced_batch(now, key, out);
                 continue;
@@ -196,7 +214,7 @@
 }
 
 /// Returns whether a batch that starts after `wait` ms ends within its objective.
-fn meets_objective(now: Time, batch: &Batch, wait: u32) -> bool {
+pub(crate) fn meets_objective(now: Time, batch: &Batch, wait: u32) -> bool {
     let end = now + Duration::from_millis(wait.into()) + batch.expected;
     end <= batch.due
 }
--- a/crates/celerywinch_pool/src/crashes.rs
+++ b/crates/celerywinch_pool/src/crashes.rs
@@ -309,7 +309,10 @@
         if let Some(batch) = self.batches.get_mut(key) {
             batch.probe_passed = true;
             let passes = needs_probe && batch.order.no_wait;
-            self.passing.extend(passes.then_some(key));
+            if passes {
+                let tasks = batch.tasks.keys().copied().collect();
+                self.passing.push((key, tasks));
+            }
         }
     }
 }
--- a/crates/celerywinch_pool/src/event.rs
+++ b/crates/celerywinch_pool/src/event.rs
@@ -1,7 +1,7 @@
 //! Decisions of the dispatcher that are logged, with their reasons.
 
 use celerywinch_types::{
-    Crashes, Domain, InstanceId, JobId, RunNumber, Session, SubmissionNumber, TaskId,
+    Crashes, DeclineReason, Domain, InstanceId, JobId, RunNumber, Session, SubmissionNumber, TaskId,
 };
 use serde::Serialize;
 
@@ -67,6 +67,65 @@
         /// Number of returned tasks.
         tasks: usize,
     },
+    /// A place in the queue was reserved for tasks that are with their origin.
+    Reserved {
+        /// The job.
+        job: JobId,
+        /// Its origin.
+        origin: InstanceId,
+        /// Number of its tasks that are pending.
+        tasks: usize,
+        /// Number of dispatchers that have the reservation.
+        dispatchers: usize,
+    },
+    /// Capacity is held for a reservation and offered to its origin.
+    Offered {
+        /// The job.
+        job: JobId,
+        /// Its origin.
+        origin: InstanceId,
+        /// Number of tasks for which it suffices.
+        tasks: usize,
+    },
+    /// Tasks were submitted for which capacity was held.
+    OfferUsed {
+        /// The job.
+        job: JobId,
+        /// Its origin.
+        origin: InstanceId,
+        /// Number of tasks.
+        tasks: usize,
+        /// Time for which the capacity was held, in ms.
+        took: u32,
+    },
+    /// Held capacity was freed: the offer was not answered, the worker takes no tasks any more, or the origin's grant has
+    /// expired.
+    OfferExpired {
+        /// The job.
+        job: JobId,
+        /// Its origin.
+        origin: InstanceId,
+        /// Number of tasks for which it was held.
+        tasks: usize,
+    },
+    /// An origin has ended a reservation.
+    Released {
+        /// The job.
+        job: JobId,
+        /// Its origin.
+        origin: InstanceId,
+        /// Number of workers on which capacity was held for it.
+        unused: usize,
+    },
+    /// A reservation is not kept.
+    Declined {
+        /// The job.
+        job: JobId,
+        /// Its origin.
+        origin: InstanceId,
+        /// Why.
+        reason: DeclineReason,
+    },
     /// A submission of another session was dropped: it was delayed on its way, and its tasks may be elsewhere.
     HeldUp {
         /// The origin.
@@ -203,9 +262,15 @@
             Self::Started { .. }
             | Self::Queued { .. }
             | Self::Passed { .. }
+            | Self::Reserved { .. }
+            | Self::Offered { .. }
+            | Self::OfferUsed { .. }
+            | Self::Released { .. }
             | Self::WorkerHeld { .. } => true,
             Self::RunEnded { how, .. } => *how == "done",
             Self::HeldUp { .. }
+            | Self::OfferExpired { .. }
+            | Self::Declined { .. }
             | Self::Unplaced { .. }
             | Self::GrantOver { .. }
             | Self::Refused { .. }
--- a/crates/celerywinch_pool/src/grants.rs
+++ b/crates/celerywinch_pool/src/grants.rs
@@ -179,7 +179,9 @@
 
     /// Drops the tasks of origins whose grants expired at least `SUSPENSION` ago.
     pub(crate) fn tick_grants(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.drop_void_reservations(now);
         let origins = self.batches.values().map(|batch| batch.origin);
+        let origins = origins.chain(self.reservations.origins());
         for origin in self.grants.expired_origins(now, origins) {
             out.push(Output::Event(PoolEvent::GrantOver { origin }));
             self.drop_origin(now, origin, out);
--- a/crates/celerywinch_pool/src/origins.rs
+++ b/crates/celerywinch_pool/src/origins.rs
@@ -123,6 +123,7 @@
         for key in keys {
             self.drop_batch(now, key, out);
         }
+        self.drop_reservations_of(origin);
     }
 
     /// Removes a batch that is not wanted any more and stops its runs.
--- a/crates/celerywinch_pool/src/place.rs
+++ b/crates/celerywinch_pool/src/place.rs
@@ -6,6 +6,7 @@
 use crate::call::{CallPurpose, Request};
 use crate::job::{Batch, BatchKey, Task, TaskState};
 use crate::pool::{Output, Pool};
+use crate::queue::Entry;
 use crate::run::{Phase, Run};
 use crate::worker::{Worker, WorkerKey};
 
@@ -30,21 +31,29 @@
             return;
         }
         let mut smallest_refused = u32::MAX;
-        for key in self.queue.keys() {
-            let need = self.batches[key].order.need.cpu;
+        for entry in self.queue.entries() {
+            let order = match entry {
+                Entry::Batch(key) => &self.batches[key].order,
+                Entry::Reservation(key) => &self.reservations.waiting[key].batch.order,
+            };
+            let need = order.need.cpu;
             // A batch that needs at least as much as one that found no worker is skipped, as it would find none either; one
             // that could use other workers is then placed after the end of a run. Batches with a label are always tried.
-            if need >= smallest_refused && self.batches[key].order.label.is_none() {
+            if need >= smallest_refused && order.label.is_none() {
                 continue;
             }
-            if !self.place_batch(now, key, out) {
+            let placed = match entry {
+                Entry::Batch(key) => self.place_batch(now, key, out),
+                Entry::Reservation(key) => self.hold_capacity(now, key, out),
+            };
+            if !placed {
                 smallest_refused = smallest_refused.min(need);
             }
         }
     }
 
     /// Starts the waiting tasks of a batch. Returns false if one of them found no worker.
-    fn place_batch(&mut self, now: Time, key: BatchKey, out: &mut Vec<Output>) -> bool {
+    pub(crate) fn place_batch(&mut self, now: Time, key: BatchKey, out: &mut Vec<Output>) -> bool {
         self.dequeue(key);
         let batch = &self.batches[key];
         let startable = |task: &Task| {
@@ -59,7 +68,8 @@
             waiting.truncate(usize::from(none_running));
         }
         for index in waiting {
-            let Some(worker) = self.choose_worker(now, &self.batches[key], index) else {
+            let batch = &self.batches[key];
+            let Some(worker) = self.choose_worker(now, batch, batch.tasks.get(&index)) else {
                 placed_all = false;
                 break;
             };
@@ -72,21 +82,28 @@
         placed_all
     }
 
-    /// Returns the worker with the lowest cost for a task, if any can take it.
-    fn choose_worker(&self, now: Time, batch: &Batch, index: u16) -> Option<WorkerKey> {
-        let task = &batch.tasks[&index];
+    /// Returns the worker with the lowest cost for a task of a batch, if any can take it. The task is not known if it is
+    /// still with its origin.
+    pub(crate) fn choose_worker(
+        &self,
+        now: Time,
+        batch: &Batch,
+        task: Option<&Task>,
+    ) -> Option<WorkerKey> {
+        let crashes = task.map(|task| task.crashes).unwrap_or_default();
+        let failed_on = task.and_then(|task| task.failed_on);
         let workers = self.workers.iter();
         let fitting = workers.filter(|(key, worker)| {
             self.accepts_tasks(now, worker)
                 && self.can_run(batch, *key, worker)
                 && !self.has_suspended_run(now, worker)
-                && !self.shares_with_suspect(task.crashes, worker)
+                && !self.shares_with_suspect(crashes, worker)
         });
         let packs = !self.config.disabled.contains(Mechanism::Packing);
         let probing = self.needs_probe(batch);
         let cost = |key: WorkerKey, worker: &Worker| {
             let shared = PROBE_COST * self.probe_exposure(worker, probing) as f64;
-            placement_cost(batch, task, key, worker, packs)
+            placement_cost(batch, failed_on, key, worker, packs)
                 + shared
                 + self.locality_cost(worker, probing)
         };
@@ -136,7 +153,7 @@
     }
 
     /// Returns whether a worker runs fewer tasks of the step than the job allows on one worker.
-    fn within_spread(&self, batch: &Batch, _key: WorkerKey, worker: &Worker) -> bool {
+    fn within_spread(&self, batch: &Batch, key: WorkerKey, worker: &Worker) -> bool {
         let Some(most) = batch.order.spread else {
             return true;
         };
@@ -145,7 +162,7 @@
             let task = self.runs[**run].task;
             (task.job, task.step) == (job, step)
         });
-        runs_of_step.count() < usize::from(most)
+        runs_of_step.count() + self.holds_of_step(key, job, step) < usize::from(most)
     }
 
     /// Starts a task on a worker. Returns false if no lease can be given, as the worker's clock was never read.
@@ -226,7 +243,13 @@
 
 /// Returns the cost of a task on a worker: the share of the worker left empty, its pace, and whether the task failed
 /// there last.
-fn placement_cost(batch: &Batch, task: &Task, key: WorkerKey, worker: &Worker, packs: bool) -> f64 {
+fn placement_cost(
+    batch: &Batch,
+    failed_on: Option<WorkerKey>,
+    key: WorkerKey,
+    worker: &Worker,
+    packs: bool,
+) -> f64 {
     let remaining = worker.free().saturating_sub(batch.order.need).cpu;
     let empty = if packs {
         f64::from(remaining) / f64::from(worker.announcement.capacity.cpu.max(1))
@@ -234,7 +257,7 @@
         0.0
     };
     let pace = worker.pace * rack_factor(batch, worker);
-    let avoid = if task.failed_on == Some(key) {
+    let avoid = if failed_on == Some(key) {
         FAILED_ON_COST
     } else {
         0.0
--- a/crates/celerywinch_pool/src/pool.rs
+++ b/crates/celerywinch_pool/src/pool.rs
@@ -17,7 +17,8 @@
 use crate::grants::{Grant, Grants};
 use crate::inflow::Inflow;
 use crate::job::{Batch, BatchKey, TaskState};
-use crate::queue::{Queue, Rank};
+use crate::queue::{Entry, Queue, Rank};
+use crate::reservations::Reservations;
 use crate::run::{Phase, Run, RunKey};
 use crate::run_times::RunTimes;
 use crate::sent_ends::SentEnd;
@@ -132,8 +133,10 @@
     pub(crate) first_input: Option<Time>,
     /// Number of inputs so far: a call sent during an input was sent after everything received in earlier ones.
     pub(crate) input_count: u64,
-    /// Batches whose tasks are returned if they find no free capacity during the current input.
-    pub(crate) passing: Vec<BatchKey>,
+    /// Batches with the tasks that are returned if they find no free capacity during the current input.
+    pub(crate) passing: Vec<(BatchKey, BTreeSet<u16>)>,
+    /// Reservations for tasks that are with their origins.
+    pub(crate) reservations: Reservations,
 }
 
 impl Pool {
@@ -169,6 +172,7 @@
             first_input: None,
             input_count: 0,
             passing: Vec::new(),
+            reservations: Reservations::default(),
         }
     }
 
@@ -231,6 +235,7 @@
     pub fn is_idle(&self) -> bool {
         let no_work = self.runs.is_empty() && self.batches.is_empty();
         no_work
+            && self.reservations.is_empty()
             && self
                 .calls
                 .values()
@@ -311,11 +316,13 @@
             Input::Tick => self.tick(now, out),
         }
         self.remove_empty();
+        self.free_void_holds(now, out);
         self.place_tasks(now, out);
-        for key in std::mem::take(&mut self.passing) {
-            self.pass_on(now, key, out);
+        for (key, tasks) in std::mem::take(&mut self.passing) {
+            self.pass_on(now, key, &tasks, out);
         }
         self.send_ends(out);
+        self.send_reservation_messages(out);
     }
 
     fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
@@ -346,8 +353,14 @@
             WorkMsg::ResyncDone { request, unsure } => {
                 self.drop_unnamed(now, from, request, &unsure, out);
             }
+            WorkMsg::Reserve(reservation) => self.reserve(now, from, reservation, out),
+            WorkMsg::Release(steps) => self.release(from, &steps, out),
             // Addressed to origins, not to dispatchers.
-            WorkMsg::Ended(_) | WorkMsg::Crashed(..) | WorkMsg::Resync(_) => {}
+            WorkMsg::Ended(_)
+            | WorkMsg::Crashed(..)
+            | WorkMsg::Resync(_)
+            | WorkMsg::Offer(_)
+            | WorkMsg::Decline(_) => {}
         }
     }
 
@@ -487,7 +500,7 @@
 
     /// Returns the rank of a batch in the queue.
     pub(crate) fn rank(&self, key: BatchKey, batch: &Batch) -> Rank {
-        Rank::new(key, batch, self.config.disabled)
+        Rank::new(Entry::Batch(key), batch, self.config.disabled)
     }
 
     pub(crate) fn dequeue(&mut self, key: BatchKey) {
--- a/crates/celerywinch_pool/src/queue.rs
+++ b/crates/celerywinch_pool/src/queue.rs
@@ -1,22 +1,32 @@
-//! The order in which waiting batches are placed.
+//! The order in which waiting batches and reservations are placed.
 
 use std::collections::BTreeSet;
 
 use celerywinch_types::{DisabledMechanisms, Mechanism, Time};
 
 use crate::job::{Batch, BatchKey};
+use crate::reservations::ReservationKey;
 
-/// Position of a batch in the queue; lower ranks come first.
+/// What waits in the queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Entry {
+    /// Tasks that were submitted.
+    Batch(BatchKey),
+    /// Tasks that are still with their origin.
+    Reservation(ReservationKey),
+}
+
+/// Position of an entry in the queue; lower ranks come first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Rank {
     pub(crate) priority: u8,
     due: Time,
-    key: BatchKey,
+    entry: Entry,
 }
 
 impl Rank {
     /// Ranks by priority, then by the end of the latency objective (earliest first).
-    pub(crate) fn new(key: BatchKey, batch: &Batch, disabled: DisabledMechanisms) -> Self {
+    pub(crate) fn new(entry: Entry, batch: &Batch, disabled: DisabledMechanisms) -> Self {
         let priority = if disabled.contains(Mechanism::Priority) {
             0
         } else {
@@ -25,12 +35,12 @@
         Self {
             priority,
             due: batch.due,
-            key,
+            entry,
         }
     }
 }
 
-/// Batches with waiting tasks, ordered by rank.
+/// Batches with waiting tasks, and reservations, ordered by rank.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Queue {
     ranks: BTreeSet<Rank>,
@@ -45,19 +55,19 @@
         self.ranks.remove(&rank);
     }
 
-    pub(crate) fn keys(&self) -> Vec<BatchKey> {
-        self.ranks.iter().map(|rank| rank.key).collect()
+    pub(crate) fn entries(&self) -> Vec<Entry> {
+        self.ranks.iter().map(|rank| rank.entry).collect()
     }
 
-    /// Returns the batches that come before `rank`.
-    pub(crate) fn ahead(&self, rank: Rank) -> impl Iterator<Item = BatchKey> + '_ {
-        self.ranks.range(..rank).map(|rank| rank.key)
+    /// Returns the entries that come before `rank`.
+    pub(crate) fn ahead(&self, rank: Rank) -> impl Iterator<Item = Entry> + '_ {
+        self.ranks.range(..rank).map(|rank| rank.entry)
     }
 
-    /// Returns the batches whose priority value is at most `priority`.
-    pub(crate) fn up_to(&self, priority: u8) -> impl Iterator<Item = BatchKey> + '_ {
+    /// Returns the entries whose priority value is at most `priority`.
+    pub(crate) fn up_to(&self, priority: u8) -> impl Iterator<Item = Entry> + '_ {
         let within = move |rank: &&Rank| rank.priority <= priority;
-        self.ranks.iter().take_while(within).map(|rank| rank.key)
+        self.ranks.iter().take_while(within).map(|rank| rank.entry)
     }
 
     pub(crate) fn len(&self) -> usize {
--- a/crates/celerywinch_pool/src/submit.rs
+++ b/crates/celerywinch_pool/src/submit.rs
@@ -1,11 +1,11 @@
 //! Submissions of tasks by origins.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use celerywinch_types::{
-    InstanceId, PriorRuns, Session, StepOrder, SubmissionNumber, TaskEnd, TaskId, TaskOrder,
-    TaskReport, Time,
+    InstanceId, Mechanism, PriorRuns, Session, StepOrder, SubmissionNumber, TaskEnd, TaskId,
+    TaskOrder, TaskReport, Time,
 };
 
 use crate::PoolEvent;
@@ -30,6 +30,8 @@
             return;
         }
         let session = order.session;
+        let no_wait = order.no_wait;
+        let reserved = (from, order.job, order.step);
         let tasks = std::mem::take(&mut order.tasks);
         if self.owned.is_empty() {
             self.return_tasks(from, &order, &tasks);
@@ -45,7 +47,7 @@
             }
             None => {
                 let batch = self.new_batch(now, from, order);
-                let (refusable, no_wait) = (batch.order.refusable, batch.order.no_wait);
+                let refusable = batch.order.refusable;
                 if refusable && !no_wait && self.refuse_new(now, &batch, &tasks, out) {
                     return;
                 }
@@ -56,16 +58,28 @@
                 let name = (batch.order.job, batch.order.step);
                 let key = self.batches.insert(batch);
                 self.batch_keys.insert(name, key);
-                self.passing.extend(no_wait.then_some(key));
                 key
             }
         };
         self.dequeue(key);
+        let count = u16::try_from(tasks.len()).unwrap_or(u16::MAX);
+        let mut added = BTreeSet::new();
         for task in tasks {
+            let index = task.index;
+            if !self.batches[key].tasks.contains_key(&index) {
+                added.insert(index);
+            }
             self.add_task(now, key, session, task, out);
         }
         self.requeue(key);
         self.shrunk.push(key);
+        if no_wait && (known.is_none() || !self.config.disabled.contains(Mechanism::LateBinding)) {
+            // Its capacity was held in the order of the queue.
+            if self.take_holds(now, reserved, count, out) {
+                self.place_batch(now, key, out);
+            }
+            self.passing.push((key, added));
+        }
     }
 
     /// Handles the repeated submission of a known step, perhaps by another origin. Tasks that the submission does not name
@@ -125,16 +139,25 @@
         self.unsent_ends.entry(origin).or_default().extend(reports);
     }
 
-    /// Returns the tasks of a newly submitted batch that found no free capacity, for another dispatcher to start.
-    pub(crate) fn pass_on(&mut self, now: Time, key: BatchKey, out: &mut Vec<Output>) {
+    /// Returns those of the newly submitted tasks of a batch that found no free capacity, for another dispatcher to start.
+    /// Tasks that were here before have perhaps run, and wait here.
+    pub(crate) fn pass_on(
+        &mut self,
+        now: Time,
+        key: BatchKey,
+        submitted: &BTreeSet<u16>,
+        out: &mut Vec<Output>,
+    ) {
         let Some(batch) = self.batches.get(key) else {
             return;
         };
         let tasks = batch.tasks.iter();
-        let waiting = tasks.filter(|(_, task)| task.state == TaskState::Waiting);
-        let waiting: Vec<u16> = waiting.map(|(index, _)| *index).collect();
-        let started = batch.tasks.len() - waiting.len();
-        if started > 0 && self.needs_probe(batch) {
+        let tasks = tasks.filter(|(index, _)| submitted.contains(index));
+        let (waiting, placed): (Vec<_>, Vec<_>) =
+            tasks.partition(|(_, task)| task.state == TaskState::Waiting);
+        let waiting: Vec<u16> = waiting.into_iter().map(|(index, _)| *index).collect();
+        let started = placed.len();
+        if batch.tasks.len() > waiting.len() && self.needs_probe(batch) {
             // The other tasks wait for the probe task, not for free capacity.
             return;
         }
--- a/crates/celerywinch_pool/src/takeover.rs
+++ b/crates/celerywinch_pool/src/takeover.rs
@@ -357,6 +357,7 @@
         }
         if self.owned.is_empty() {
             returned += self.return_queue(now);
+            self.decline_all(out);
         }
         out.push(Output::Event(PoolEvent::Resigned {
             domain,
--- a/crates/celerywinch_pool/src/worker.rs
+++ b/crates/celerywinch_pool/src/worker.rs
@@ -53,6 +53,8 @@
     pub(crate) runs: Vec<RunKey>,
     /// The capacity used by its runs, including those whose end is not listed yet.
     pub(crate) used: Resources,
+    /// The capacity held for reservations.
+    pub(crate) held: Resources,
     /// The number of runs of other dispatchers that were neither adopted nor seen to end.
     pub(crate) foreign_runs: usize,
     /// The serial number of the last end that was processed, and of the last one that was acknowledged to the worker.
@@ -92,6 +94,7 @@
         Self {
             domain: domain_of(&announcement, shards),
             used: Resources::default(),
+            held: Resources::default(),
             announcement,
             other_incarnations: OtherIncarnations::default(),
             previous_loss: None,
@@ -218,16 +221,21 @@
     /// Returns the free capacity. It is zero if the capacity has shrunk below what is in use: those runs continue, and
     /// new tasks wait.
     pub(crate) fn free(&self) -> Resources {
-        self.announcement.capacity.saturating_sub(self.used)
+        let free = self.announcement.capacity.saturating_sub(self.used);
+        free.saturating_sub(self.held)
     }
 
     /// Returns whether a new task may be sent to the worker.
     pub(crate) fn accepts_tasks(&self, now: Time) -> bool {
-        let available =
+        let unused = self.runs.is_empty() && self.held == Resources::default();
+        self.is_available(now) && (!self.probation || unused)
+    }
+
+    /// Returns whether tasks may be sent to the worker, now or when its present ones have ended.
+    pub(crate) fn is_available(&self, now: Time) -> bool {
+        let answers =
             self.ownership == Ownership::Owned && self.missed_calls == 0 && self.foreign_runs == 0;
-        let idle = !self.probation || self.runs.is_empty();
-        available
-            && idle
+        answers
             && self.has_recent_clock(now)
             && self.announcement.stage == WorkerStage::Ready
             && self.quarantined_until <= now
--- a/crates/celerywinch_types/src/fleet.rs
+++ b/crates/celerywinch_types/src/fleet.rs
@@ -20,6 +20,11 @@
     ///
     /// There is no zero and no default, so a report cannot leave out which submission it answers.
     pub struct SubmissionNumber(NonZeroU64);
+
+    /// The number of a message of an origin about its reservations. It rises over all of them, so a dispatcher knows
+    /// which of two messages about a step is the later one.
+    #[derive(Default)]
+    pub struct ReservationNumber(pub u64);
 }
 
 impl SubmissionNumber {
@@ -293,6 +298,59 @@
         },
     }
 
+    /// A place in the queue of a dispatcher for tasks that are still with their origin. The same tasks may have places
+    /// in the queues of several dispatchers; the first that has capacity for them gets them.
+    pub struct Reservation {
+        /// The step, without its specification and tasks.
+        pub order: StepOrder,
+        /// The number of this message.
+        pub number: ReservationNumber,
+        /// The number of tasks that are pending.
+        pub tasks: u16,
+        /// The number of dispatchers that have a reservation for them.
+        pub dispatchers: u16,
+    }
+
+    /// The reservations of a step up to a number.
+    #[derive(Copy)]
+    pub struct ReservedStep {
+        /// The job.
+        pub job: JobId,
+        /// The step.
+        pub step: u16,
+        /// The highest number.
+        pub number: ReservationNumber,
+    }
+
+    /// Capacity that a dispatcher holds for a moment.
+    #[derive(Copy)]
+    pub struct Offer {
+        /// The step for which it is held.
+        pub step: ReservedStep,
+        /// The number of tasks for which it suffices, beside those of earlier offers.
+        pub tasks: u16,
+    }
+
+    /// A reservation that a dispatcher does not keep.
+    #[derive(Copy)]
+    pub struct Declined {
+        /// The step.
+        pub step: ReservedStep,
+        /// Why it is declined.
+        pub reason: DeclineReason,
+    }
+
+    /// Why a dispatcher declines a reservation.
+    #[derive(Copy)]
+    pub enum DeclineReason {
+        /// The job cannot end within its objective here; worth another try after this many ms.
+        Late(u32),
+        /// No worker of this dispatcher may take its tasks at present.
+        Unplaced,
+        /// The dispatcher owns no domain.
+        NotOwner,
+    }
+
     /// Messages between the origins of jobs and the dispatchers of data centres.
     pub enum WorkMsg {
         /// Tasks to run.
@@ -327,6 +385,14 @@
             /// Tasks that may still be submitted again, as their origin had declared this dispatcher lost.
             unsure: Vec<TaskId>,
         },
+        /// Reserves a place in the queue for tasks that found no capacity.
+        Reserve(Reservation),
+        /// Capacity that is held for reservations until the tasks are submitted or the reservations released.
+        Offer(Vec<Offer>),
+        /// Ends reservations: their tasks were placed, or their caller has left.
+        Release(Vec<ReservedStep>),
+        /// Reservations that the dispatcher does not keep.
+        Decline(Vec<Declined>),
     }
 
     /// Messages that distribute the configuration from the keepers to the entries.
