Judge steps by the quantile that their longest task reaches

Cause: admission and shedding compared the geometric mean of a queue's run times with an objective from the same mean, for a step of one task as for one of sixty. With a tail (3% of the tasks take seven times as long) most steps of 64 tasks have a long task, which stretches their objective too.

Change: a histogram for each queue of run times relative to the median of their step; the quantile n / (n + 1) counts for the end and for the objective, the mean for the work ahead. Only where the quantile for 64 tasks is twice the median or more; otherwise decisions are as before. Told to successors (mean and seven quantiles). Refusals log the expected time of the longest task.

--- a/crates/celerywinch_pool/src/admission.rs
+++ b/crates/celerywinch_pool/src/admission.rs
@@ -140,7 +140,8 @@
             submission: first.submission,
             wait,
             expected: batch.expected.as_millis() as u32,
-            left: batch.due.since(now).as_millis() as u32,
+            longest: batch.longest().as_millis() as u32,
+            left: batch.stretched_due().since(now).as_millis() as u32,
         }));
         out.push(Output::Send(batch.origin, WorkMsg::Ended(vec![first])));
     }
@@ -197,6 +198,6 @@
 
 /// Returns whether a batch that starts after `wait` ms ends within its objective.
 fn meets_objective(now: Time, batch: &Batch, wait: u32) -> bool {
-    let end = now + Duration::from_millis(wait.into()) + batch.expected;
-    end <= batch.due
+    let end = now + Duration::from_millis(wait.into()) + batch.longest();
+    end <= batch.stretched_due()
 }
--- a/crates/celerywinch_pool/src/event.rs
+++ b/crates/celerywinch_pool/src/event.rs
@@ -93,6 +93,8 @@
         wait: u32,
         /// Expected run time of a task, in ms.
         expected: u32,
+        /// Expected run time of its longest task, in ms.
+        longest: u32,
         /// Time until the end of its latency objective, in ms.
         left: u32,
     },
--- a/crates/celerywinch_pool/src/job.rs
+++ b/crates/celerywinch_pool/src/job.rs
@@ -10,6 +10,7 @@
 use slotmap::new_key_type;
 
 use crate::run::RunKey;
+use crate::tails::Stretch;
 use crate::worker::WorkerKey;
 
 new_key_type! {
@@ -60,6 +61,10 @@
     pub(crate) due: Time,
     /// Expected run time of a task on a worker of average speed.
     pub(crate) expected: Duration,
+    /// How the run times of its tasks differ from the expected one.
+    pub(crate) stretch: Stretch,
+    /// Run times of the tasks that are done, as ratios to the expected one.
+    pub(crate) ratios: Vec<f64>,
     pub(crate) tasks: BTreeMap<u16, Task>,
     /// Whether a task was sent to a worker, here or perhaps by an earlier dispatcher.
     pub(crate) started: bool,
@@ -91,7 +96,19 @@
     /// Returns the work of `tasks` tasks, in thousandths of a core times ms.
     pub(crate) fn work_of(&self, tasks: usize) -> f64 {
         let each = f64::from(self.order.need.cpu) * self.expected.as_secs_f64() * 1e3;
-        each * tasks as f64
+        each * self.stretch.work * tasks as f64
+    }
+
+    /// Returns the expected run time of its longest task on a worker of average speed.
+    pub(crate) fn longest(&self) -> Duration {
+        self.expected.mul_f64(self.stretch.longest)
+    }
+
+    /// Returns the end of its latency objective if the longest task takes as long as expected of it. The objective is
+    /// stretched by that task as the end of the step is, by `slack` for each ms.
+    pub(crate) fn stretched_due(&self) -> Time {
+        let excess = self.longest().saturating_sub(self.expected);
+        self.due + excess.mul_f64(f64::from(self.order.slack) / 1e3)
     }
 
     /// Returns the work of the waiting tasks, in thousandths of a core times ms.
--- a/crates/celerywinch_pool/src/lib.rs
+++ b/crates/celerywinch_pool/src/lib.rs
@@ -31,6 +31,7 @@
 mod run_times;
 mod sent_ends;
 mod submit;
+mod tails;
 mod takeover;
 mod unplaced;
 mod worker;
--- a/crates/celerywinch_pool/src/pool.rs
+++ b/crates/celerywinch_pool/src/pool.rs
@@ -21,6 +21,7 @@
 use crate::run::{Phase, Run, RunKey};
 use crate::run_times::RunTimes;
 use crate::sent_ends::SentEnd;
+use crate::tails::Tails;
 use crate::takeover::Takeover;
 use crate::worker::{Ownership, Worker, WorkerKey, domain_of};
 use crate::{Departure, PoolConfig, PoolEvent};
@@ -112,6 +113,7 @@
     pub(crate) calls: SlotMap<CallKey, PendingCall>,
     pub(crate) queue: Queue,
     pub(crate) run_times: RunTimes,
+    pub(crate) tails: Tails,
     /// Response times of all workers.
     pub(crate) answer_times: AnswerTimes,
     pub(crate) inflow: Inflow,
@@ -156,6 +158,7 @@
             calls: SlotMap::with_key(),
             queue: Queue::default(),
             run_times: RunTimes::default(),
+            tails: Tails::default(),
             answer_times: AnswerTimes::zeroed(),
             inflow: Inflow::default(),
             crashes: CrashHistory::default(),
@@ -207,7 +210,7 @@
             .filter(|w| w.ownership == Ownership::Owned);
         let paces = owned.map(|w| (w.announcement.id.clone(), w.pace as f32));
         Learned {
-            queues: self.run_times.learned(),
+            queues: self.run_times.learned(&self.tails),
             slowdowns: paces.collect(),
         }
     }
@@ -215,6 +218,9 @@
     /// Adopts what another dispatcher has learned. A pool that owns a domain keeps its own run times.
     pub fn learn_from(&mut self, learned: Learned) {
         if self.owned.is_empty() {
+            for queue in &learned.queues {
+                self.tails.learn_from(&queue.name, queue.tail);
+            }
             self.run_times.learn_from(learned.queues);
         }
         for (id, pace) in learned.slowdowns {
@@ -478,7 +484,9 @@
     pub(crate) fn remove_empty(&mut self) {
         for key in std::mem::take(&mut self.shrunk) {
             let empty = self.batches.get(key).is_some_and(|b| b.tasks.is_empty());
-            if empty && let Some(batch) = self.batches.remove(key) {
+            if empty && let Some(mut batch) = self.batches.remove(key) {
+                let ratios = std::mem::take(&mut batch.ratios);
+                self.tails.learn(&batch.order.queue, ratios);
                 self.queue.remove(self.rank(key, &batch));
                 self.batch_keys.remove(&(batch.order.job, batch.order.step));
             }
--- a/crates/celerywinch_pool/src/results.rs
+++ b/crates/celerywinch_pool/src/results.rs
@@ -356,8 +356,14 @@
         let usual = run.expected.as_secs_f64() / worker.pace.max(f64::EPSILON);
         let disabled = self.config.disabled;
         if !disabled.contains(Mechanism::Learning) {
-            self.run_times
-                .learn(&order.queue, order.estimate, took.div_f64(worker.pace));
+            let took = took.div_f64(worker.pace);
+            self.run_times.learn(&order.queue, order.estimate, took);
+            // Before, the expected time is the caller's estimate, and may be far off.
+            if self.run_times.is_settled(&order.queue) {
+                let batch = &mut self.batches[batch];
+                let expected = batch.expected.as_secs_f64().max(1e-3);
+                batch.ratios.push(took.as_secs_f64() / expected);
+            }
         }
         if !disabled.contains(Mechanism::Pace) {
             worker.learn_pace(took.as_secs_f64() / usual.max(1e-3));
--- a/crates/celerywinch_pool/src/run_times.rs
+++ b/crates/celerywinch_pool/src/run_times.rs
@@ -5,6 +5,8 @@
 
 use celerywinch_types::LearnedQueue;
 
+use crate::tails::Tails;
+
 /// Weight of a new measurement in the moving mean: about the last forty tasks count.
 const UPDATE_WEIGHT: f64 = 0.05;
 /// Number of tasks below which the plain mean of all measurements is used.
@@ -42,14 +44,21 @@
         Duration::from_secs_f64(millis / 1e3)
     }
 
-    /// Exports the learned run times, for a successor.
-    pub(crate) fn learned(&self) -> Vec<LearnedQueue> {
+    /// Returns whether enough tasks of a queue have ended for tasks of later steps to be compared with the expected time.
+    pub(crate) fn is_settled(&self, queue: &str) -> bool {
+        let times = self.queues.get(queue);
+        times.is_some_and(|times| times.count >= 2.0 * WARMUP_TASKS)
+    }
+
+    /// Exports the learned run times and `tails`, for a successor.
+    pub(crate) fn learned(&self, tails: &Tails) -> Vec<LearnedQueue> {
         let queues = self.queues.iter();
         let learned = queues.map(|(name, times)| LearnedQueue {
             name: name.clone(),
             count: times.count as f32,
             run_time: times.took as f32,
             bias: times.bias as f32,
+            tail: tails.tail(name),
         });
         learned.collect()
     }
--- a/crates/celerywinch_pool/src/submit.rs
+++ b/crates/celerywinch_pool/src/submit.rs
@@ -4,14 +4,15 @@
 use std::time::Duration;
 
 use celerywinch_types::{
-    InstanceId, PriorRuns, Session, StepOrder, SubmissionNumber, TaskEnd, TaskId, TaskOrder,
-    TaskReport, Time,
+    InstanceId, Mechanism, PriorRuns, Session, StepOrder, SubmissionNumber, TaskEnd, TaskId,
+    TaskOrder, TaskReport, Time,
 };
 
 use crate::PoolEvent;
 use crate::job::{Batch, BatchKey, Task, TaskState};
 use crate::pool::{Output, Pool};
 use crate::run::Run;
+use crate::tails::Stretch;
 
 /// Within this time a caller whose connection broke while it sent a job sends the job again. A caller whose connection
 /// breaks while it waits for the answer retries only after 1.3 s, when nothing of the first attempt is left.
@@ -44,7 +45,10 @@
                 key
             }
             None => {
-                let batch = self.new_batch(now, from, order);
+                let mut batch = self.new_batch(now, from, order);
+                if !self.config.disabled.contains(Mechanism::Quantiles) {
+                    batch.stretch = self.tails.stretch(&batch.order.queue, tasks.len());
+                }
                 let (refusable, no_wait) = (batch.order.refusable, batch.order.no_wait);
                 if refusable && !no_wait && self.refuse_new(now, &batch, &tasks, out) {
                     return;
@@ -193,6 +197,8 @@
             arrived: now - age,
             due: now + objective - age,
             expected,
+            stretch: Stretch::NONE,
+            ratios: Vec::new(),
             tasks: BTreeMap::new(),
             started: !order.refusable,
             // Another dispatcher passed the rest of the step on after it had started a part of it.
--- a/crates/celerywinch_types/src/fleet.rs
+++ b/crates/celerywinch_types/src/fleet.rs
@@ -441,6 +441,22 @@
     pub run_time: f32,
     /// The ratio of their run time to the callers' estimates.
     pub bias: f32,
+    /// How much longer than the usual task of its step a task may take, if some take much longer.
+    pub tail: Option<LearnedTail>,
+}
+
+/// The distribution of the run times of a queue's tasks, as ratios to the median of their steps.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LearnedTail {
+    /// The mean.
+    pub mean: f32,
+    /// For each of [`LearnedTail::WIDTHS`], the quantile that the longest of so many tasks reaches on average.
+    pub quantiles: [f32; 7],
+}
+
+impl LearnedTail {
+    /// The numbers of tasks for which quantiles are kept: powers of two.
+    pub const WIDTHS: [u16; 7] = [1, 2, 4, 8, 16, 32, 64];
 }
 
 /// The run times that a dispatcher has learned. A successor without them mistakes tasks of usual length for slow ones.
