Learn the share of the workers' capacity that placement fills

Cause: admission expected 85% of the processors to be used, whatever the sizes of tasks and workers; tasks of a bit more than half a worker fill 55 to 75%.

Gauge packing_permille.

--- a/crates/celerywinch_fleet/src/metrics.rs
+++ b/crates/celerywinch_fleet/src/metrics.rs
@@ -56,6 +56,8 @@
     document_seconds: Histogram,
     pub(crate) peers: IntGauge,
     pub(crate) workers: IntGauge,
+    /// In thousandths.
+    pub(crate) packing_permille: IntGauge,
     pub(crate) open_jobs: IntGauge,
     pub(crate) evacuated_data_centres: IntGauge,
     pub(crate) evacuated_runs: IntGauge,
@@ -140,6 +142,10 @@
             )?,
             peers: meter.gauge("peers", "Live peers.")?,
             workers: meter.gauge("workers", "Workers controlled by this dispatcher.")?,
+            packing_permille: meter.gauge(
+                "packing_permille",
+                "Share of the workers' processors that placement fills while tasks wait, in thousandths.",
+            )?,
             open_jobs: meter.gauge("open_jobs", "Open jobs of callers.")?,
             evacuated_data_centres: meter.gauge(
                 "evacuated_data_centres",
--- a/crates/celerywinch_pool/src/admission.rs
+++ b/crates/celerywinch_pool/src/admission.rs
@@ -10,8 +10,6 @@
 use crate::job::{Batch, BatchKey, TaskState};
 use crate::pool::{Output, Pool};
 
-/// The share of the processors that placement can fill. The rest of a worker is often too small for another task.
-const PACKING_EFFICIENCY: f64 = 0.85;
 /// The share of the processors that counts as available to work of low priority, however much work of higher priority
 /// arrives: the capacity that ending runs free at that moment.
 const MIN_LOW_SHARE: f64 = 0.1;
@@ -31,7 +29,7 @@
             workers.filter(|w| self.accepts_tasks(now, w) || self.accepts_after_takeover(w));
         let speed =
             |w: &crate::worker::Worker| f64::from(w.announcement.capacity.cpu) / w.pace.max(1.0);
-        usable.map(speed).sum::<f64>() * PACKING_EFFICIENCY
+        usable.map(speed).sum::<f64>() * self.packing_share()
     }
 
     /// Estimates the time in ms until the waiting work of the batches `ahead` and `new_work` is done, while `inflow_rate` work
--- a/crates/celerywinch_pool/src/lib.rs
+++ b/crates/celerywinch_pool/src/lib.rs
@@ -23,6 +23,7 @@
 mod job;
 mod leases;
 mod origins;
+mod packing;
 mod place;
 mod pool;
 mod queue;
--- a/crates/celerywinch_pool/src/place.rs
+++ b/crates/celerywinch_pool/src/place.rs
@@ -27,8 +27,10 @@
     /// behind it.
     pub(crate) fn place_tasks(&mut self, now: Time, out: &mut Vec<Output>) {
         if self.queue.is_empty() {
+            self.observe_packing(now, None);
             return;
         }
+        let mut blocked = None;
         let mut smallest_refused = u32::MAX;
         for key in self.queue.keys() {
             let need = self.batches[key].order.need.cpu;
@@ -39,8 +41,10 @@
             }
             if !self.place_batch(now, key, out) {
                 smallest_refused = smallest_refused.min(need);
+                blocked.get_or_insert(key);
             }
         }
+        self.observe_packing(now, blocked);
     }
 
     /// Starts the waiting tasks of a batch. Returns false if one of them found no worker.
--- a/crates/celerywinch_pool/src/pool.rs
+++ b/crates/celerywinch_pool/src/pool.rs
@@ -17,6 +17,7 @@
 use crate::grants::{Grant, Grants};
 use crate::inflow::Inflow;
 use crate::job::{Batch, BatchKey, TaskState};
+use crate::packing::Packing;
 use crate::queue::{Queue, Rank};
 use crate::run::{Phase, Run, RunKey};
 use crate::run_times::RunTimes;
@@ -117,6 +118,7 @@
     /// Response times of all workers.
     pub(crate) answer_times: AnswerTimes,
     pub(crate) inflow: Inflow,
+    pub(crate) packing: Packing,
     /// Crashes of workers under tasks.
     pub(crate) crashes: CrashHistory,
     pub(crate) takeover: Takeover,
@@ -161,6 +163,7 @@
             tails: Tails::default(),
             answer_times: AnswerTimes::zeroed(),
             inflow: Inflow::default(),
+            packing: Packing::default(),
             crashes: CrashHistory::default(),
             takeover: Takeover::default(),
             grants: Grants::default(),
