--- a/crates/celerywinch_pool/src/admission.rs
+++ b/crates/celerywinch_pool/src/admission.rs
@@ -11,8 +11,6 @@
 use crate::pool::{Output, Pool};
 use crate::queue::Entry;
 
-/// The share of the processors that placement can fill. The rest of a worker is often too small for another task.
-const PACKING_EFFICIENCY: f64 = 0.85;
 /// The share of the processors that counts as available to work of low priority, however much work of higher priority
 /// arrives: the capacity that ending runs free at that moment.
 const MIN_LOW_SHARE: f64 = 0.1;
@@ -32,7 +30,7 @@
             workers.filter(|w| self.accepts_tasks(now, w) || self.accepts_after_takeover(w));
         let speed =
             |w: &crate::worker::Worker| f64::from(w.announcement.capacity.cpu) / w.pace.max(1.0);
-        usable.map(speed).sum::<f64>() * PACKING_EFFICIENCY
+        usable.map(speed).sum::<f64>() * self.packing_share()
     }
 
     /// Estimates the time in ms until the waiting work of the entries `ahead` and `new_work` is done, while `inflow_rate` work
@@ -151,7 +149,8 @@
             submission: first.submission,
             wait,
             expected: batch.expected.as_millis() as u32,
-            left: batch.due.since(now).as_millis() as u32,
+            longest: batch.longest().as_millis() as u32,
+            left: batch.stretched_due().since(now).as_millis() as u32,
         }));
         out.push(Output::Send(batch.origin, WorkMsg::Ended(vec![first])));
     }
@@ -215,6 +214,6 @@
 
 /// Returns whether a batch that starts after `wait` ms ends within its objective.
 pub(crate) fn meets_objective(now: Time, batch: &Batch, wait: u32) -> bool {
-    let end = now + Duration::from_millis(wait.into()) + batch.expected;
-    end <= batch.due
+    let end = now + Duration::from_millis(wait.into()) + batch.longest();
+    end <= batch.stretched_due()
 }
--- a/crates/celerywinch_pool/src/place.rs
+++ b/crates/celerywinch_pool/src/place.rs
@@ -28,14 +28,13 @@
     /// behind it.
     pub(crate) fn place_tasks(&mut self, now: Time, out: &mut Vec<Output>) {
         if self.queue.is_empty() {
+            self.observe_packing(now, None);
             return;
         }
+        let mut blocked = None;
         let mut smallest_refused = u32::MAX;
         for entry in self.queue.entries() {
-            let order = match entry {
-                Entry::Batch(key) => &self.batches[key].order,
-                Entry::Reservation(key) => &self.reservations.waiting[key].batch.order,
-            };
+            let order = &self.batch_of(entry).order;
             let need = order.need.cpu;
             // A batch that needs at least as much as one that found no worker is skipped, as it would find none either; one
             // that could use other workers is then placed after the end of a run. Batches with a label are always tried.
@@ -48,8 +47,18 @@
             };
             if !placed {
                 smallest_refused = smallest_refused.min(need);
+                blocked.get_or_insert(entry);
             }
         }
+        self.observe_packing(now, blocked);
+    }
+
+    /// Returns the step of an entry of the queue.
+    pub(crate) fn batch_of(&self, entry: Entry) -> &Batch {
+        match entry {
+            Entry::Batch(key) => &self.batches[key],
+            Entry::Reservation(key) => &self.reservations.waiting[key].batch,
+        }
     }
 
     /// Starts the waiting tasks of a batch. Returns false if one of them found no worker.
--- a/crates/celerywinch_pool/src/pool.rs
+++ b/crates/celerywinch_pool/src/pool.rs
@@ -17,11 +17,13 @@
 use crate::grants::{Grant, Grants};
 use crate::inflow::Inflow;
 use crate::job::{Batch, BatchKey, TaskState};
+use crate::packing::Packing;
 use crate::queue::{Entry, Queue, Rank};
 use crate::reservations::Reservations;
 use crate::run::{Phase, Run, RunKey};
 use crate::run_times::RunTimes;
 use crate::sent_ends::SentEnd;
+use crate::tails::Tails;
 use crate::takeover::Takeover;
 use crate::worker::{Ownership, Worker, WorkerKey, domain_of};
 use crate::{Departure, PoolConfig, PoolEvent};
@@ -113,9 +115,11 @@
     pub(crate) calls: SlotMap<CallKey, PendingCall>,
     pub(crate) queue: Queue,
     pub(crate) run_times: RunTimes,
+    pub(crate) tails: Tails,
     /// Response times of all workers.
     pub(crate) answer_times: AnswerTimes,
     pub(crate) inflow: Inflow,
+    pub(crate) packing: Packing,
     /// Crashes of workers under tasks.
     pub(crate) crashes: CrashHistory,
     pub(crate) takeover: Takeover,
@@ -159,8 +163,10 @@
             calls: SlotMap::with_key(),
             queue: Queue::default(),
             run_times: RunTimes::default(),
+            tails: Tails::default(),
             answer_times: AnswerTimes::zeroed(),
             inflow: Inflow::default(),
+            packing: Packing::default(),
             crashes: CrashHistory::default(),
             takeover: Takeover::default(),
             grants: Grants::default(),
@@ -211,7 +217,7 @@
             .filter(|w| w.ownership == Ownership::Owned);
         let paces = owned.map(|w| (w.announcement.id.clone(), w.pace as f32));
         Learned {
-            queues: self.run_times.learned(),
+            queues: self.run_times.learned(&self.tails),
             slowdowns: paces.collect(),
         }
     }
@@ -219,6 +225,9 @@
     /// Adopts what another dispatcher has learned. A pool that owns a domain keeps its own run times.
     pub fn learn_from(&mut self, learned: Learned) {
         if self.owned.is_empty() {
+            for queue in &learned.queues {
+                self.tails.learn_from(&queue.name, queue.tail);
+            }
             self.run_times.learn_from(learned.queues);
         }
         for (id, pace) in learned.slowdowns {
@@ -491,7 +500,9 @@
     pub(crate) fn remove_empty(&mut self) {
         for key in std::mem::take(&mut self.shrunk) {
             let empty = self.batches.get(key).is_some_and(|b| b.tasks.is_empty());
-            if empty && let Some(batch) = self.batches.remove(key) {
+            if empty && let Some(mut batch) = self.batches.remove(key) {
+                let ratios = std::mem::take(&mut batch.ratios);
+                self.tails.learn(&batch.order.queue, ratios);
                 self.queue.remove(self.rank(key, &batch));
                 self.batch_keys.remove(&(batch.order.job, batch.order.step));
             }
--- a/crates/celerywinch_pool/src/reservations.rs
+++ b/crates/celerywinch_pool/src/reservations.rs
@@ -144,7 +144,7 @@
             return;
         }
         let earlier = known.and_then(|key| self.remove_reservation(key));
-        let mut batch = self.new_batch(now, from, order);
+        let mut batch = self.new_batch(now, from, order, tasks.into());
         // Where a part of the step has started, its probe task was at another dispatcher.
         batch.probe_passed = batch.started;
         let waiting = Waiting {
--- a/crates/celerywinch_pool/src/submit.rs
+++ b/crates/celerywinch_pool/src/submit.rs
@@ -12,6 +12,7 @@
 use crate::job::{Batch, BatchKey, Task, TaskState};
 use crate::pool::{Output, Pool};
 use crate::run::Run;
+use crate::tails::Stretch;
 
 /// Within this time a caller whose connection broke while it sent a job sends the job again. A caller whose connection
 /// breaks while it waits for the answer retries only after 1.3 s, when nothing of the first attempt is left.
@@ -46,7 +47,7 @@
                 key
             }
             None => {
-                let batch = self.new_batch(now, from, order);
+                let batch = self.new_batch(now, from, order, tasks.len());
                 let refusable = batch.order.refusable;
                 if refusable && !no_wait && self.refuse_new(now, &batch, &tasks, out) {
                     return;
@@ -205,7 +206,18 @@
         }
     }
 
-    pub(crate) fn new_batch(&self, now: Time, origin: InstanceId, order: StepOrder) -> Batch {
+    pub(crate) fn new_batch(
+        &self,
+        now: Time,
+        origin: InstanceId,
+        order: StepOrder,
+        tasks: usize,
+    ) -> Batch {
+        let stretch = if self.config.disabled.contains(Mechanism::Quantiles) {
+            Stretch::NONE
+        } else {
+            self.tails.stretch(&order.queue, tasks)
+        };
         let ms = Duration::from_millis;
         let expected = self.run_times.expected(&order.queue, order.estimate);
         let chain = self.run_times.expected(&order.queue, order.critical_path);
@@ -216,6 +228,8 @@
             arrived: now - age,
             due: now + objective - age,
             expected,
+            stretch,
+            ratios: Vec::new(),
             tasks: BTreeMap::new(),
             started: !order.refusable,
             // Another dispatcher passed the rest of the step on after it had started a part of it.
