Suspect slow workers by the progress of their runs, and move what cannot end there in time

Cause: a task on a worker that has turned eight times slower was moved only after 2.5 times its expected run time, when it could no longer meet its objective elsewhere, and the worker got long tasks until its mean pace had risen.

Change: the dispatcher measures the speed of each run by the progress in the lists that it polls anyway. A worker whose runs are all slow is suspected, and quarantined if they belong to several jobs; runs that cannot end within their objective are moved while they still can elsewhere. A good run beside a slow one clears the worker, and a task that was slow twice clears the first one.

--- a/crates/celerywinch_bench/src/members/faults.rs
+++ b/crates/celerywinch_bench/src/members/faults.rs
@@ -6,6 +6,7 @@
 use rand::Rng;
 use rand::seq::IteratorRandom;
 
+use super::impairments::ImpairmentPlan;
 use super::world::World;
 
 /// Kinds of faults that are injected, one fault at a time at a fixed interval.
@@ -43,6 +44,8 @@
     pub resets: bool,
     /// Whether the monotonic clocks of workers are up to 2% slow, each at its own rate.
     pub drift: bool,
+    /// Workers that are impaired together, if any.
+    pub impaired: Option<ImpairmentPlan>,
 }
 
 /// Fault to be injected. Traces print its name.
--- a/crates/celerywinch_bench/src/members/lifecycle.rs
+++ b/crates/celerywinch_bench/src/members/lifecycle.rs
@@ -108,7 +108,7 @@
         self.crash_worker(index, duration);
     }
 
-    fn crash_worker(&mut self, index: usize, duration: Duration) {
+    pub(crate) fn crash_worker(&mut self, index: usize, duration: Duration) {
         let now = self.now;
         let host = &mut self.workers[index];
         if !host.up {
--- a/crates/celerywinch_bench/src/members/mod.rs
+++ b/crates/celerywinch_bench/src/members/mod.rs
@@ -6,6 +6,7 @@
 mod evacuations;
 mod faults;
 mod history;
+mod impairments;
 mod lifecycle;
 mod links;
 mod load;
@@ -19,6 +20,7 @@
 
 pub use faults::FaultPlan;
 pub use history::{Violation, overlaps};
+pub use impairments::{Impairment, ImpairmentPlan};
 pub use links::ControlTraffic;
 pub use load::{ClassPlan, ClassStats, LoadPlan, Lull, REFERENCE_CPU, reference_classes};
 pub use switches::{Switch, Switches};
--- a/crates/celerywinch_bench/src/members/switches.rs
+++ b/crates/celerywinch_bench/src/members/switches.rs
@@ -205,6 +205,7 @@
             crashing: self.has(Switch::Crashing),
             evacuated: self.has(Switch::Evacuated),
             resets: self.has(Switch::Resets),
+            impaired: None,
         }
     }
 }
--- a/crates/celerywinch_bench/src/members/workers.rs
+++ b/crates/celerywinch_bench/src/members/workers.rs
@@ -253,6 +253,10 @@
 
     pub(crate) fn impair_worker(&mut self, health: Health, duration: Duration) {
         let index = self.pick_worker();
+        self.set_health(index, health, duration);
+    }
+
+    pub(crate) fn set_health(&mut self, index: usize, health: Health, duration: Duration) {
         let now = self.now;
         let local = self.workers[index].local(now);
         let worker = &mut self.workers[index].worker;
--- a/crates/celerywinch_bench/src/members/world.rs
+++ b/crates/celerywinch_bench/src/members/world.rs
@@ -18,6 +18,7 @@
 use super::evacuations::AcknowledgedEvacuations;
 use super::faults::FaultPlan;
 use super::history::Violation;
+use super::impairments::ImpairmentPlan;
 use super::lifecycle::AnnouncedState;
 use super::links::{ControlTraffic, LinkDirection, message_size};
 use super::load::{ClassStats, LoadPlan};
@@ -120,6 +121,7 @@
     StaleAnnouncement(WorkerAnnouncement),
     CrashByTask(usize, u32, TaskId),
     RestoreHealth(usize),
+    Impair(usize, ImpairmentPlan),
     AnnounceAll,
     ReopenLinks(usize),
     RetryRefusedLinks,
@@ -291,6 +293,9 @@
         if world.options.faults.is_some() {
             world.schedule(Time(2_500_000), Event::InjectFault);
         }
+        if let Some(plan) = world.options.faults.and_then(|plan| plan.impaired) {
+            world.plan_impairment(plan);
+        }
         if world.options.faults.is_some_and(|plan| plan.congested) {
             world.schedule(Time(1_500_000), Event::AnnounceAll);
         }
@@ -355,6 +360,7 @@
             Event::CrashByTask(worker, restarts, task) => {
                 self.crash_by_task(worker, restarts, task)
             }
+            Event::Impair(worker, plan) => self.impair(worker, plan),
             Event::RestoreHealth(worker) => self.restore_health(worker),
             Event::AnnounceAll => self.announce_all(),
             Event::ReopenLinks(member) => self.reopen_links(member),
--- a/crates/celerywinch_bench/tests/members_lives.rs
+++ b/crates/celerywinch_bench/tests/members_lives.rs
@@ -52,6 +52,7 @@
     evacuated: false,
     resets: false,
     drift: false,
+    impaired: None,
 };
 
 const ALL: FaultPlan = FaultPlan {
--- a/crates/celerywinch_fleet/src/core/work.rs
+++ b/crates/celerywinch_fleet/src/core/work.rs
@@ -79,6 +79,8 @@
         let (_, _, workers) = self.member.pool().counts();
         self.metrics.peers.set(peers as i64);
         self.metrics.workers.set(workers as i64);
+        let suspected = self.member.pool().suspected_workers();
+        self.metrics.suspected_workers.set(suspected as i64);
         self.metrics.open_jobs.set(self.member.open_jobs() as i64);
         self.metrics
             .evacuated_data_centres
--- a/crates/celerywinch_fleet/src/metrics.rs
+++ b/crates/celerywinch_fleet/src/metrics.rs
@@ -56,6 +56,7 @@
     document_seconds: Histogram,
     pub(crate) peers: IntGauge,
     pub(crate) workers: IntGauge,
+    pub(crate) suspected_workers: IntGauge,
     pub(crate) open_jobs: IntGauge,
     pub(crate) evacuated_data_centres: IntGauge,
     pub(crate) evacuated_runs: IntGauge,
@@ -140,6 +141,10 @@
             )?,
             peers: meter.gauge("peers", "Live peers.")?,
             workers: meter.gauge("workers", "Workers controlled by this dispatcher.")?,
+            suspected_workers: meter.gauge(
+                "suspected_workers",
+                "Workers of this dispatcher that are suspected of being slow.",
+            )?,
             open_jobs: meter.gauge("open_jobs", "Open jobs of callers.")?,
             evacuated_data_centres: meter.gauge(
                 "evacuated_data_centres",
--- a/crates/celerywinch_pool/src/job.rs
+++ b/crates/celerywinch_pool/src/job.rs
@@ -47,6 +47,8 @@
     pub(crate) unconfirmed: bool,
     /// The worker on which it failed last.
     pub(crate) failed_on: Option<WorkerKey>,
+    /// Whether it was moved from a worker where it took too long.
+    pub(crate) overstayed: bool,
 }
 
 /// A submitted step of a job, with the tasks that have not ended.
--- a/crates/celerywinch_pool/src/leases.rs
+++ b/crates/celerywinch_pool/src/leases.rs
@@ -109,6 +109,9 @@
         let remaining =
             runs.map(|run| (run.started + run.expected.mul_f64(WAIT_FACTOR)).since(now));
         let earliest = remaining.min().unwrap_or_default();
+        if self.workers[key].suspicion.is_some() {
+            return self.config.min_wait.as_millis() as u32;
+        }
         let wait = earliest
             .max(self.config.min_wait)
             .min(self.config.poll_wait);
@@ -282,9 +285,18 @@
         let took = now.since(run.started);
         let late = run.expected.mul_f64(LATE_FACTOR) + LATE_MARGIN;
         let not_moved = self.config.disabled.contains(Mechanism::Moving);
-        if run.stopping || took < late || not_moved {
+        if run.stopping || not_moved {
             return;
         }
+        match self.moves_by_progress(now, key, percent) {
+            Some(true) => {
+                self.move_run(now, key, percent, out);
+                return;
+            }
+            Some(false) => return,
+            None if took < late => return,
+            None => {}
+        }
         let done = f64::from(percent.clamp(1, 100)) / 100.0;
         let remaining = took.mul_f64((1.0 - done) / done);
         let Some(batch) = run.batch.and_then(|batch| self.batches.get(batch)) else {
@@ -298,8 +310,9 @@
             return;
         }
         let usual = usual.as_secs_f64().max(1e-3);
+        let learns = !self.config.disabled.contains(Mechanism::Pace);
         let worker = &mut self.workers[run.worker];
-        if !self.config.disabled.contains(Mechanism::Pace) {
+        if learns && worker.suspicion.is_none() {
             worker.learn_pace(took.as_secs_f64() / done / usual);
         }
         let quarantine = !self.config.disabled.contains(Mechanism::Probation);
@@ -307,10 +320,17 @@
             worker.quarantined_until = now + self.config.quarantine;
             worker.probation = true;
         }
+        self.move_run(now, key, percent, out);
+    }
+
+    /// Stops a run to start its task elsewhere.
+    fn move_run(&mut self, now: Time, key: RunKey, percent: u8, out: &mut Vec<Output>) {
+        let run = self.runs[key];
+        self.record_overstay(key);
         out.push(Output::Event(PoolEvent::Moved {
             task: run.task,
-            worker: worker.announcement.id.clone(),
-            took: took.as_millis() as u32,
+            worker: self.workers[run.worker].announcement.id.clone(),
+            took: now.since(run.started).as_millis() as u32,
             expected: run.expected.as_millis() as u32,
             percent,
         }));
--- a/crates/celerywinch_pool/src/place.rs
+++ b/crates/celerywinch_pool/src/place.rs
@@ -5,7 +5,9 @@
 use crate::PoolEvent;
 use crate::call::{CallPurpose, Request};
 use crate::job::{Batch, BatchKey, Task, TaskState};
+use crate::overstay::suspicion_cost;
 use crate::pool::{Output, Pool};
+use crate::progress::Progress;
 use crate::run::{Phase, Run};
 use crate::worker::{Worker, WorkerKey};
 
@@ -81,6 +83,7 @@
                 && self.can_run(batch, *key, worker)
                 && !self.has_suspended_run(now, worker)
                 && !self.shares_with_suspect(task.crashes, worker)
+                && self.is_trusted_with(now, batch, worker)
         });
         let packs = !self.config.disabled.contains(Mechanism::Packing);
         let probing = self.needs_probe(batch);
@@ -89,6 +92,7 @@
             placement_cost(batch, task, key, worker, packs)
                 + shared
                 + self.locality_cost(worker, probing)
+                + suspicion_cost(worker)
         };
         fitting
             .min_by(|a, b| cost(a.0, a.1).total_cmp(&cost(b.0, b.1)))
@@ -189,6 +193,7 @@
             adopted: false,
             stopping: false,
             stop_accepted: false,
+            progress: Progress::default(),
         };
         let request = Request::Start {
             task: run.task,
--- a/crates/celerywinch_pool/src/pool.rs
+++ b/crates/celerywinch_pool/src/pool.rs
@@ -320,6 +320,7 @@
 
     fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
         self.tick_workers(now, out);
+        self.expire_suspicions(now);
         self.tick_grants(now, out);
         self.tick_takeover(now, out);
         self.stop_unconfirmed_runs(now, out);
--- a/crates/celerywinch_pool/src/results.rs
+++ b/crates/celerywinch_pool/src/results.rs
@@ -6,6 +6,7 @@
     Answer, CallKey, CallPurpose, EndedRow, PollContext, PollKind, Rejection, RunEnd, RunningRow,
 };
 use crate::job::BatchKey;
+use crate::overstay::Learns;
 use crate::pool::{Output, Pool};
 use crate::run::{Phase, Run, RunKey};
 use crate::worker::{Ownership, WorkerKey};
@@ -68,7 +69,10 @@
         }
         let confirmed = Phase::Running(self.input_count);
         match answer {
-            Answer::Accepted(_) | Answer::Lists { .. } => self.set_phase(key, confirmed),
+            Answer::Accepted(clock) | Answer::Lists { clock, .. } => {
+                self.set_phase(key, confirmed);
+                self.runs[key].progress.begin(clock);
+            }
             Answer::Rejected(rejection, _) => self.start_rejected(now, key, run, rejection, out),
             Answer::OtherIncarnation => {
                 self.remove_worker(now, run.worker, Departure::OtherIncarnation, out)
@@ -281,6 +285,7 @@
             self.workers[key].list_input = context.input;
             self.update_foreign_runs(now, key, running);
         }
+        self.observe_progress(now, key, running, out);
         for run in self.workers[key].runs.clone() {
             self.reconcile_run(now, run, context, running, out);
         }
@@ -347,15 +352,17 @@
 
     fn record_run_time(&mut self, now: Time, run: &Run, batch: BatchKey) {
         let took = now.since(run.started);
+        self.clear_suspicion(run, took);
+        let learns = self.learns_from(run);
         let order = &self.batches[batch].order;
         let worker = &mut self.workers[run.worker];
         worker.record_success();
-        if run.adopted {
+        if run.adopted || learns == Learns::Nothing {
             return;
         }
         let usual = run.expected.as_secs_f64() / worker.pace.max(f64::EPSILON);
         let disabled = self.config.disabled;
-        if !disabled.contains(Mechanism::Learning) {
+        if !disabled.contains(Mechanism::Learning) && learns == Learns::Both {
             self.run_times
                 .learn(&order.queue, order.estimate, took.div_f64(worker.pace));
         }
--- a/crates/celerywinch_pool/src/run.rs
+++ b/crates/celerywinch_pool/src/run.rs
@@ -6,6 +6,7 @@
 use slotmap::new_key_type;
 
 use crate::job::BatchKey;
+use crate::progress::Progress;
 use crate::worker::WorkerKey;
 
 new_key_type! {
@@ -48,4 +49,6 @@
     pub(crate) stopping: bool,
     /// Whether the worker has accepted the stop: the run ends soon or never starts.
     pub(crate) stop_accepted: bool,
+    /// Its progress as the worker reports it.
+    pub(crate) progress: Progress,
 }
--- a/crates/celerywinch_pool/src/submit.rs
+++ b/crates/celerywinch_pool/src/submit.rs
@@ -242,6 +242,7 @@
             session: Some(session),
             unconfirmed: false,
             failed_on: None,
+            overstayed: false,
         };
         self.batches[key].tasks.insert(order.index, task);
         // A task that may run elsewhere waits for the end of the longest lease, and so for the end of any run here.
--- a/crates/celerywinch_pool/src/takeover.rs
+++ b/crates/celerywinch_pool/src/takeover.rs
@@ -8,6 +8,7 @@
 use crate::call::{CallPurpose, EndedRow, Request, RunEnd, RunningRow};
 use crate::job::{BatchKey, TaskState};
 use crate::pool::{Output, Pool};
+use crate::progress::Progress;
 use crate::run::{Phase, Run};
 use crate::worker::{Ownership, Worker, WorkerKey};
 
@@ -203,6 +204,7 @@
             adopted: true,
             stopping: false,
             stop_accepted: false,
+            progress: Progress::default(),
         };
         let run_key = self.add_run(run);
         self.batches[key].started = true;
--- a/crates/celerywinch_pool/src/worker.rs
+++ b/crates/celerywinch_pool/src/worker.rs
@@ -12,6 +12,7 @@
 use crate::config::{LEASE_MARGIN, MAX_CLOCK_DRIFT, MAX_READING_AGE};
 use crate::incarnations::OtherIncarnations;
 use crate::leases::Loss;
+use crate::overstay::Suspicion;
 use crate::run::RunKey;
 
 new_key_type! {
@@ -85,6 +86,10 @@
     pub(crate) quarantined_until: Time,
     /// Whether the worker gets one task at a time until one succeeds.
     pub(crate) probation: bool,
+    /// The suspicion that it is slow.
+    pub(crate) suspicion: Option<Suspicion>,
+    /// Whether it has reported progress of a run.
+    pub(crate) reports_progress: bool,
 }
 
 impl Worker {
@@ -115,6 +120,8 @@
             failure_rate: 0.0,
             quarantined_until: Time::default(),
             probation: false,
+            suspicion: None,
+            reports_progress: false,
         }
     }
 
@@ -139,6 +146,11 @@
         self.missed_calls = 0;
     }
 
+    /// Returns the last reading of the worker's clock.
+    pub(crate) fn last_clock(&self) -> Option<WorkerClock> {
+        self.clock.map(|(_, clock)| clock)
+    }
+
     /// Returns whether an answer comes from another incarnation than the known one.
     pub(crate) fn is_other_incarnation(&self, incarnation: Incarnation) -> bool {
         let known = self.announcement.version.incarnation;
@@ -245,7 +257,7 @@
 
     pub(crate) fn record_success(&mut self) {
         self.failure_rate *= 1.0 - FAILURE_WEIGHT;
-        self.probation = false;
+        self.probation &= self.suspicion.is_some();
     }
 
     pub(crate) fn record_failure(&mut self) {
