--- a/crates/celerywinch_fleet/src/core/work.rs
+++ b/crates/celerywinch_fleet/src/core/work.rs
@@ -81,6 +81,8 @@
         self.metrics.workers.set(workers as i64);
         let packing = self.member.pool().packing_share();
         self.metrics.packing_permille.set((packing * 1e3) as i64);
+        let suspected = self.member.pool().suspected_workers();
+        self.metrics.suspected_workers.set(suspected as i64);
         self.metrics.open_jobs.set(self.member.open_jobs() as i64);
         self.metrics
             .evacuated_data_centres
--- a/crates/celerywinch_fleet/src/metrics.rs
+++ b/crates/celerywinch_fleet/src/metrics.rs
@@ -72,6 +72,7 @@
     pub(crate) workers: IntGauge,
     /// In thousandths.
     pub(crate) packing_permille: IntGauge,
+    pub(crate) suspected_workers: IntGauge,
     pub(crate) open_jobs: IntGauge,
     pub(crate) evacuated_data_centres: IntGauge,
     pub(crate) evacuated_runs: IntGauge,
@@ -180,6 +181,10 @@
                 "packing_permille",
                 "Share of the workers' processors that placement fills while tasks wait, in thousandths.",
             )?,
+            suspected_workers: meter.gauge(
+                "suspected_workers",
+                "Workers of this dispatcher that are suspected of being slow.",
+            )?,
             open_jobs: meter.gauge("open_jobs", "Open jobs of callers.")?,
             evacuated_data_centres: meter.gauge(
                 "evacuated_data_centres",
