Rank entries that take shards by what they can carry

Cause: entries ranked for a shard by the number of other domains and a hash, so one of 0.09 of a core was as likely to dispatch as one of 0.3. In the fleet of the second customer (34 entries of 0.09 of a core, 9 of 0.3, 16 shards) one shard of 16 was at a large entry, in a rig of the state machines.

Change: heartbeats carry a capacity, in workers (the size of shard that the process computes for itself from its cores and its link). Entries rank by the shards that they would own for each worker of their capacity, then by other domains and the hash as before. Owners keep their domains while they live. `--without capacity-rank` sends and uses no capacity. A gauge celerywinch_capacity beside celerywinch_workers shows the share.

Left out of "as before": entries that own shards in some data centres only are now compared by shards first.

--- a/crates/celerywinch_domains/src/cluster_view.rs
+++ b/crates/celerywinch_domains/src/cluster_view.rs
@@ -3,7 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
-use celerywinch_types::{Domain, Fence, InstanceId, ProcessKind, Stage, Time, score};
+use celerywinch_types::{Capacity, Domain, Fence, InstanceId, ProcessKind, Stage, Time, score};
 
 use crate::{PeerView, Peers};
 
@@ -12,6 +12,10 @@
 /// 600 cases; the next entry then finds out by its probes, 100 ms later.
 const SUCCESSORS: usize = 4;
 
+/// The number of bits of the fraction of shards per worker. It is so fine that entries of the same capacity rank by their
+/// number of shards.
+const LOAD_FRACTION_BITS: u32 = 32;
+
 /// An entry that serves, with the number of domains it owns.
 #[derive(Clone, Debug)]
 pub(crate) struct Candidate {
@@ -20,21 +24,33 @@
     shards: BTreeMap<u8, usize>,
     /// The number of domains it owns.
     total: usize,
+    /// What it can carry.
+    capacity: Capacity,
 }
 
-/// The rank of an entry for a shard; the lowest comes first. Owners of the shard come first, then entries that own
-/// few other domains. A hash breaks ties, so that no entry comes first for all shards.
-type Rank = (bool, usize, u64);
+/// The rank of an entry for a shard; the lowest comes first. Owners of the shard come first, then entries that would
+/// own the fewest shards for their capacity with it, then those that own few other domains. A hash breaks ties, so that no
+/// entry comes first for all shards.
+type Rank = (bool, u64, usize, u64);
 
 impl Candidate {
-    pub(crate) fn new(id: InstanceId, owned: impl Iterator<Item = Domain>) -> Self {
+    pub(crate) fn new(
+        id: InstanceId,
+        capacity: Option<Capacity>,
+        owned: impl Iterator<Item = Domain>,
+    ) -> Self {
         let mut shards = BTreeMap::new();
         let mut total = 0;
         for domain in owned {
             *shards.entry(domain.shard).or_default() += 1;
             total += 1;
         }
-        Self { id, shards, total }
+        Self {
+            id,
+            shards,
+            total,
+            capacity: capacity.unwrap_or(Capacity::USUAL),
+        }
     }
 
     /// Returns the number of data centres in which it owns a shard.
@@ -44,8 +60,11 @@
 
     fn rank(&self, shard: u8) -> Rank {
         let owned_here = self.owned_in_shard(shard);
+        // With this shard. Others count in full, as their further domains are acquired within a tick or two.
+        let shards = self.shards.len() as u64 + u64::from(owned_here == 0);
         (
             owned_here == 0,
+            (shards << LOAD_FRACTION_BITS) / self.capacity.workers() as u64,
             self.total - owned_here,
             tie_break(shard, self.id),
         )
@@ -95,7 +114,7 @@
                     .owned_domains
                     .iter()
                     .map(|owned| owned.domain);
-                entries.push(Candidate::new(id, owned));
+                entries.push(Candidate::new(id, view.heartbeat.capacity, owned));
             }
         }
         Self { entries, fences }
--- a/crates/celerywinch_domains/src/domains.rs
+++ b/crates/celerywinch_domains/src/domains.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use celerywinch_types::{DataCentreId, Domain, Fence, InstanceId, Stage, Time, WallMs};
+use celerywinch_types::{Capacity, DataCentreId, Domain, Fence, InstanceId, Stage, Time, WallMs};
 
 use crate::cluster_view::{Candidate, ClusterView, Succession};
 use crate::{PeerView, Peers};
@@ -48,6 +48,8 @@
     pub dc: DataCentreId,
     /// Whether it is starting, serving or stopping.
     pub stage: Stage,
+    /// What it can carry; none if entries rank without regard to that.
+    pub capacity: Option<Capacity>,
 }
 
 /// A change of ownership that the host carries out.
@@ -242,7 +244,8 @@
     }
 
     fn candidate(&self) -> Candidate {
-        Candidate::new(self.me.instance, self.owned.keys().copied())
+        let owned = self.owned.keys().copied();
+        Candidate::new(self.me.instance, self.me.capacity, owned)
     }
 
     fn update_domain(
--- a/crates/celerywinch_domains/tests/ownership.rs
+++ b/crates/celerywinch_domains/tests/ownership.rs
@@ -34,6 +34,7 @@
         version: 1,
         evacuations: Evacuations::default(),
         shards: 1,
+        capacity: None,
         // A process that has run for some time.
         sent: Time(5_000_000),
         echo: None,
@@ -57,6 +58,7 @@
             instance: InstanceId(1),
             dc: DataCentreId(0),
             stage: Stage::Ready,
+            capacity: None,
         };
         let dcs = (0..3).map(DataCentreId).collect();
         Self {
--- a/crates/celerywinch_fleet/src/core.rs
+++ b/crates/celerywinch_fleet/src/core.rs
@@ -284,12 +284,14 @@
             metrics,
         } = parts;
         let now = clock.now();
+        let shard_size = max_shard_size(config.cores, config.link_rate);
+        metrics.capacity.set(shard_size as i64);
         let member = MemberConfig {
             me,
             kind: config.kind,
             dc: config.dc,
             dcs: config.dcs.clone(),
-            shard_size: max_shard_size(config.cores, config.link_rate),
+            shard_size,
             pool: PoolConfig {
                 disabled: config.disabled,
                 ..PoolConfig::default()
--- a/crates/celerywinch_fleet/src/metrics.rs
+++ b/crates/celerywinch_fleet/src/metrics.rs
@@ -56,6 +56,7 @@
     document_seconds: Histogram,
     pub(crate) peers: IntGauge,
     pub(crate) workers: IntGauge,
+    pub(crate) capacity: IntGauge,
     pub(crate) open_jobs: IntGauge,
     pub(crate) evacuated_data_centres: IntGauge,
     pub(crate) evacuated_runs: IntGauge,
@@ -140,6 +141,7 @@
             )?,
             peers: meter.gauge("peers", "Live peers.")?,
             workers: meter.gauge("workers", "Workers controlled by this dispatcher.")?,
+            capacity: meter.gauge("capacity", "Workers that this process can dispatch for.")?,
             open_jobs: meter.gauge("open_jobs", "Open jobs of callers.")?,
             evacuated_data_centres: meter.gauge(
                 "evacuated_data_centres",
--- a/crates/celerywinch_member/src/heartbeats.rs
+++ b/crates/celerywinch_member/src/heartbeats.rs
@@ -256,6 +256,7 @@
             version: self.version,
             evacuations: self.evacuations.clone(),
             shards: self.domains.shards(),
+            capacity: self.config.capacity(),
             sent: now,
             echo,
             interval_ms: interval.as_millis() as u32,
--- a/crates/celerywinch_member/src/member.rs
+++ b/crates/celerywinch_member/src/member.rs
@@ -9,8 +9,8 @@
     Answer, Call, CallKey, Grant, Input as PoolInput, Pool, PoolConfig, PoolEvent,
 };
 use celerywinch_types::{
-    Crashes, DataCentreId, Evacuations, FleetHeartbeat, FleetMsg, InstanceId, JobEnd, Learned,
-    Mechanism, OwnedDomain, Process, ProcessKind, Stage, TaskId, Time, WallMs, WorkMsg,
+    Capacity, Crashes, DataCentreId, Evacuations, FleetHeartbeat, FleetMsg, InstanceId, JobEnd,
+    Learned, Mechanism, OwnedDomain, Process, ProcessKind, Stage, TaskId, Time, WallMs, WorkMsg,
     WorkerAnnouncement,
 };
 
@@ -56,12 +56,20 @@
     pub dc: DataCentreId,
     /// All data centres of the fleet.
     pub dcs: BTreeSet<DataCentreId>,
-    /// Maximum number of workers that one dispatcher takes.
+    /// Maximum number of workers that this process takes as a dispatcher, and its weight among the entries that may.
     pub shard_size: usize,
     /// The configuration of the dispatcher.
     pub pool: PoolConfig,
 }
 
+impl MemberConfig {
+    /// Returns what this process can carry, if entries rank by that.
+    pub(crate) fn capacity(&self) -> Option<Capacity> {
+        let by_capacity = !self.pool.disabled.contains(Mechanism::CapacityRank);
+        by_capacity.then(|| Capacity::new(self.shard_size))
+    }
+}
+
 /// An input from the host.
 #[derive(Clone, Debug)]
 pub enum Input {
@@ -188,6 +196,7 @@
             instance: config.me.instance,
             dc: config.dc,
             stage,
+            capacity: config.capacity(),
         };
         let mut pool = Pool::new(PoolConfig {
             dc: Some(config.dc),
--- a/crates/celerywinch_member/tests/contacts.rs
+++ b/crates/celerywinch_member/tests/contacts.rs
@@ -54,6 +54,7 @@
             version: 1,
             evacuations: Evacuations::default(),
             shards: 1,
+            capacity: None,
             sent: Time(0) + Duration::from_millis(uptime),
             echo: None,
             interval_ms: 100,
--- a/crates/celerywinch_member/tests/evacuations.rs
+++ b/crates/celerywinch_member/tests/evacuations.rs
@@ -37,6 +37,7 @@
         version: 1,
         evacuations,
         shards: 1,
+        capacity: None,
         sent: Time(0),
         echo: None,
         interval_ms: 100,
--- a/crates/celerywinch_member/tests/handovers.rs
+++ b/crates/celerywinch_member/tests/handovers.rs
@@ -35,6 +35,7 @@
         version: 1,
         evacuations: Evacuations::default(),
         shards: 64,
+        capacity: None,
         sent: now,
         echo: None,
         interval_ms: 5_000,
--- a/crates/celerywinch_member/tests/idle.rs
+++ b/crates/celerywinch_member/tests/idle.rs
@@ -30,6 +30,7 @@
         evacuations: Evacuations::default(),
         version: 1,
         shards: 1,
+        capacity: None,
         sent: Time(0),
         echo: None,
         interval_ms: 100,
--- a/crates/celerywinch_member/tests/learned.rs
+++ b/crates/celerywinch_member/tests/learned.rs
@@ -39,6 +39,7 @@
         version: 1,
         evacuations: Evacuations::default(),
         shards: 1,
+        capacity: None,
         sent: now,
         echo: None,
         interval_ms: 100,
--- a/crates/celerywinch_member/tests/origins.rs
+++ b/crates/celerywinch_member/tests/origins.rs
@@ -47,6 +47,7 @@
         version: 1,
         evacuations: Evacuations::default(),
         shards: 1,
+        capacity: None,
         sent: now,
         echo: Some(Echo {
             incarnation: Incarnation(1),
--- a/crates/celerywinch_member/tests/probes.rs
+++ b/crates/celerywinch_member/tests/probes.rs
@@ -49,6 +49,7 @@
         version: 1,
         evacuations: Evacuations::default(),
         shards: 1,
+        capacity: None,
         sent: now,
         echo: None,
         interval_ms: if dispatches { 100 } else { 500 },
--- a/crates/celerywinch_member/tests/restarts.rs
+++ b/crates/celerywinch_member/tests/restarts.rs
@@ -41,6 +41,7 @@
         version,
         evacuations: Evacuations::default(),
         shards: 1,
+        capacity: None,
         sent: Time(sent),
         echo: None,
         interval_ms: 100,
--- a/crates/celerywinch_types/src/fleet.rs
+++ b/crates/celerywinch_types/src/fleet.rs
@@ -1,7 +1,7 @@
 //! Messages between the processes of a deployment that runs jobs of tasks on workers.
 
 use std::collections::BTreeSet;
-use std::num::NonZeroU64;
+use std::num::{NonZeroU16, NonZeroU64};
 
 use serde::{Deserialize, Serialize};
 
@@ -20,6 +20,9 @@
     ///
     /// There is no zero and no default, so a report cannot leave out which submission it answers.
     pub struct SubmissionNumber(NonZeroU64);
+
+    /// What an entry can carry as a dispatcher, in workers.
+    pub struct Capacity(NonZeroU16);
 }
 
 impl SubmissionNumber {
@@ -41,6 +44,24 @@
     }
 }
 
+impl Capacity {
+    /// The capacity that counts for a process that reports none: that of a tenth of a core.
+    pub const USUAL: Self = Self(NonZeroU16::new(32).unwrap());
+
+    /// Returns the capacity for a number of workers, at least 1.
+    #[must_use]
+    pub fn new(workers: usize) -> Self {
+        let workers = u16::try_from(workers).unwrap_or(u16::MAX);
+        Self(NonZeroU16::new(workers).unwrap_or(NonZeroU16::MIN))
+    }
+
+    /// Returns the number of workers.
+    #[must_use]
+    pub fn workers(self) -> usize {
+        self.0.get().into()
+    }
+}
+
 domain! {
     /// The kind of a process.
     #[derive(Copy)]
@@ -143,6 +164,8 @@
         pub evacuations: Evacuations,
         /// The number of shards into which the workers are divided, as far as it knows; it never falls.
         pub shards: u8,
+        /// What it can carry; none if its entries rank without regard to that.
+        pub capacity: Option<Capacity>,
         /// When the heartbeat was sent, by the sender's clock, for the receiver to echo.
         pub sent: Time,
         /// The last heartbeat of the receiver, if the sender submits work to it and counts it as alive.
--- a/crates/celerywinch_types/src/lib.rs
+++ b/crates/celerywinch_types/src/lib.rs
@@ -22,10 +22,10 @@
 pub use crashes::Crashes;
 pub use endpoint::{EndpointAnnouncement, EndpointState, KindName};
 pub use fleet::{
-    Chunk, ConfigMsg, Contact, Domain, Echo, EvacuationOrder, Evacuations, FleetHeartbeat,
-    FleetMsg, KeeperMsg, KeeperRequest, KeeperState, Learned, LearnedQueue, Load, OwnedDomain,
-    PriorRuns, ProcessKind, Session, Stage, StepOrder, SubmissionNumber, TaskEnd, TaskOrder,
-    TaskReport, WorkMsg,
+    Capacity, Chunk, ConfigMsg, Contact, Domain, Echo, EvacuationOrder, Evacuations,
+    FleetHeartbeat, FleetMsg, KeeperMsg, KeeperRequest, KeeperState, Learned, LearnedQueue, Load,
+    OwnedDomain, PriorRuns, ProcessKind, Session, Stage, StepOrder, SubmissionNumber, TaskEnd,
+    TaskOrder, TaskReport, WorkMsg,
 };
 pub use hash::{score, stable_hash};
 pub use id::{DataCentreId, Holder, Incarnation, InstanceId, Process};
