--- a/crates/celerywinch_fleet/src/metrics.rs
+++ b/crates/celerywinch_fleet/src/metrics.rs
@@ -73,6 +73,7 @@
     /// In thousandths.
     pub(crate) packing_permille: IntGauge,
     pub(crate) suspected_workers: IntGauge,
+    pub(crate) capacity: IntGauge,
     pub(crate) open_jobs: IntGauge,
     pub(crate) evacuated_data_centres: IntGauge,
     pub(crate) evacuated_runs: IntGauge,
@@ -185,6 +186,7 @@
                 "suspected_workers",
                 "Workers of this dispatcher that are suspected of being slow.",
             )?,
+            capacity: meter.gauge("capacity", "Workers that this process can dispatch for.")?,
             open_jobs: meter.gauge("open_jobs", "Open jobs of callers.")?,
             evacuated_data_centres: meter.gauge(
                 "evacuated_data_centres",
