--- a/crates/celerywinch_origin/src/choice.rs
+++ b/crates/celerywinch_origin/src/choice.rs
@@ -17,7 +17,7 @@
 /// The same number where tasks without room are reserved at several dispatchers.
 const MAX_RETURNS_BEFORE_RESERVING: usize = 1;
 /// Number of dispatchers that have a reservation for the same tasks.
-const RESERVED_AT: usize = 6;
+const RESERVED_AT: usize = 4;
 
 /// The dispatcher of a domain.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/celerywinch_origin/src/origin.rs
+++ b/crates/celerywinch_origin/src/origin.rs
@@ -6,14 +6,14 @@
 
 use celerywinch_types::{
     DataCentreId, DisabledMechanisms, Domain, InstanceId, JobEnd, JobId, JobPlan, Mechanism,
-    OwnedDomain, PriorRuns, Queue, ReservationNumber, ReservedStep, RunNumber, Session,
-    SubmissionNumber, TaskEnd, TaskReport, Time, WorkMsg, domain, identifier,
+    OwnedDomain, PriorRuns, Queue, ReservationNumber, RunNumber, Session, SubmissionNumber,
+    TaskEnd, TaskReport, Time, WorkMsg, domain, identifier,
 };
 
 use crate::choice::{Choice, Request, Route, choose};
 use crate::job::{Job, PossibleRun, TaskState};
 use crate::lost::{LOST_RUN_TIMEOUT, SentCancels, Withdrawals};
-use crate::reservations::Outlook;
+use crate::reservations::{Outlook, Releases};
 use crate::{Holder, JobEvent};
 
 /// How long a new job waits while no dispatcher is known. A handoff takes up to 500 ms, by which time most latency
@@ -104,8 +104,7 @@
     pub(crate) sessions: BTreeMap<InstanceId, Session>,
     /// Number of the last reservation.
     pub(crate) last_reservation: ReservationNumber,
-    /// Reservations that are released after the current input, by dispatcher.
-    pub(crate) unsent_releases: BTreeMap<InstanceId, Vec<ReservedStep>>,
+    pub(crate) releases: Releases,
 }
 
 impl Origin {
@@ -126,7 +125,7 @@
             sent_cancels: SentCancels::default(),
             sessions: BTreeMap::new(),
             last_reservation: ReservationNumber::default(),
-            unsent_releases: BTreeMap::new(),
+            releases: Releases::default(),
         }
     }
 
@@ -265,7 +264,7 @@
     fn drop_job(&mut self, now: Time, id: JobId, out: &mut Vec<Output>) -> Option<Job> {
         self.pending.remove(&id);
         let job = self.jobs.remove(&id)?;
-        self.release_job(&job, out);
+        self.release_job(now, &job, out);
         for dispatcher in job.dispatchers() {
             self.cancel(now, dispatcher, id, out);
         }
@@ -524,7 +523,7 @@
             .clone()
             .any(|(_, t)| matches!(t.state, TaskState::MaybeRunning(..)));
         if pending == 0 {
-            self.release_step(id, step, out);
+            self.release_step(now, id, step, out);
             return remaining;
         }
         match self.outlook(now, id, step, out) {
--- a/crates/celerywinch_origin/src/reservations.rs
+++ b/crates/celerywinch_origin/src/reservations.rs
@@ -20,6 +20,34 @@
 /// shorter than callers wait.
 const RENEW_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// How long an offer may be on its way when its reservation is released. The release frees what it holds, so it needs no
+/// other answer.
+const CROSSING_TIME: Duration = Duration::from_millis(40);
+
+/// The releases that offers on their way may cross, and those that are not sent yet.
+#[derive(Debug, Default)]
+pub(crate) struct Releases {
+    recent: BTreeMap<(InstanceId, JobId, u16), Time>,
+    unsent: BTreeMap<InstanceId, Vec<ReservedStep>>,
+}
+
+impl Releases {
+    fn add(&mut self, now: Time, dispatcher: InstanceId, step: ReservedStep) {
+        self.recent.insert((dispatcher, step.job, step.step), now);
+        self.unsent.entry(dispatcher).or_default().push(step);
+    }
+
+    fn answers(&self, now: Time, dispatcher: InstanceId, offered: ReservedStep) -> bool {
+        let key = (dispatcher, offered.job, offered.step);
+        let released = self.recent.get(&key);
+        released.is_some_and(|at| now.since(*at) < CROSSING_TIME)
+    }
+
+    fn expire(&mut self, now: Time) {
+        self.recent.retain(|_, at| now.since(*at) < CROSSING_TIME);
+    }
+}
+
 /// A reservation at a dispatcher.
 #[derive(Clone, Copy, Debug)]
 struct Place {
@@ -159,6 +187,7 @@
             };
             self.last_reservation = ReservationNumber(self.last_reservation.0 + 1);
             let number = self.last_reservation;
+            self.releases.recent.remove(&(*dispatcher, id, step));
             let mut order = job.order(now, step, Vec::new());
             order.spec.clear();
             order.session = session;
@@ -192,8 +221,9 @@
     ) {
         for offer in offers {
             let ReservedStep { job, step, .. } = offer.step;
-            if !self.take_offer(now, from, offer, out) {
-                self.release(from, job, step);
+            let taken = self.take_offer(now, from, offer, out);
+            if !taken && !self.releases.answers(now, from, offer.step) {
+                self.release(now, from, job, step);
             }
         }
     }
@@ -237,7 +267,7 @@
         let is_pending = |state: &TaskState| *state == TaskState::Pending;
         self.send_tasks(now, id, step, choice, is_pending, out);
         if taken == pending {
-            self.release_step(id, step, out);
+            self.release_step(now, id, step, out);
         }
         true
     }
@@ -295,25 +325,26 @@
     }
 
     /// Releases the reservations of a step.
-    pub(crate) fn release_step(&mut self, id: JobId, step: u16, out: &mut Vec<Output>) {
+    pub(crate) fn release_step(&mut self, now: Time, id: JobId, step: u16, out: &mut Vec<Output>) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
         let Some(reserved) = job.reservations.remove(&step) else {
             return;
         };
-        self.release_places(id, step, &reserved, out);
+        self.release_places(now, id, step, &reserved, out);
     }
 
     /// Releases all reservations of a job that has ended.
-    pub(crate) fn release_job(&mut self, job: &Job, out: &mut Vec<Output>) {
+    pub(crate) fn release_job(&mut self, now: Time, job: &Job, out: &mut Vec<Output>) {
         for (step, reserved) in &job.reservations {
-            self.release_places(job.id, *step, reserved, out);
+            self.release_places(now, job.id, *step, reserved, out);
         }
     }
 
     fn release_places(
         &mut self,
+        now: Time,
         id: JobId,
         step: u16,
         reserved: &StepReservations,
@@ -323,7 +354,7 @@
             return;
         }
         for dispatcher in reserved.places.keys() {
-            self.release(*dispatcher, id, step);
+            self.release(now, *dispatcher, id, step);
         }
         out.push(Output::Event(JobEvent::Released {
             job: id,
@@ -331,18 +362,17 @@
         }));
     }
 
-    fn release(&mut self, dispatcher: InstanceId, job: JobId, step: u16) {
+    fn release(&mut self, now: Time, dispatcher: InstanceId, job: JobId, step: u16) {
         let released = ReservedStep {
             job,
             step,
             number: self.last_reservation,
         };
-        let steps = self.unsent_releases.entry(dispatcher).or_default();
-        steps.push(released);
+        self.releases.add(now, dispatcher, released);
     }
 
     pub(crate) fn send_releases(&mut self, out: &mut Vec<Output>) {
-        for (dispatcher, steps) in std::mem::take(&mut self.unsent_releases) {
+        for (dispatcher, steps) in std::mem::take(&mut self.releases.unsent) {
             out.push(Output::Send(dispatcher, WorkMsg::Release(steps)));
         }
     }
@@ -394,6 +424,7 @@
 
     /// Sends the reservations again for which nothing was offered for [`RENEW_INTERVAL`].
     pub(crate) fn renew_reservations(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.releases.expire(now);
         let mut due = Vec::new();
         for job in self.jobs.values() {
             let steps = job.reservations.iter();
