--- a/crates/celerywinch_origin/src/choice.rs
+++ b/crates/celerywinch_origin/src/choice.rs
@@ -46,6 +46,8 @@
     pub(crate) priority: u8,
     /// Number of tasks.
     pub(crate) tasks: u32,
+    /// What each of them needs, in thousandths of a core.
+    pub(crate) cpu: u32,
     /// Dispatchers that returned them for lack of room.
     pub(crate) full: &'a [InstanceId],
     /// The step.
@@ -64,6 +66,7 @@
             job: job.id,
             priority: job.queue.priority,
             tasks: 0,
+            cpu: job.plan.steps[usize::from(step)].need.cpu,
             full: &job.full,
             step,
             unplaced: &job.unplaced,
@@ -97,6 +100,8 @@
 struct Candidate {
     holder: Holder,
     free: u32,
+    /// Number of tasks of the requested size that could start.
+    fitting: u32,
     /// Whether one of its domains is in the origin's data centre.
     local: bool,
 }
@@ -114,7 +119,7 @@
 pub(crate) fn choose(holders: &[Holder], request: &Request) -> Option<Route> {
     let known = placeable(holders, request);
     let single = known.len() == 1;
-    let all = preferred(known);
+    let mut all = preferred(known);
     let reserves = request.reservable && all.len() > 1;
     let max_returns = if reserves {
         MAX_RETURNS_BEFORE_RESERVING
@@ -122,7 +127,11 @@
         MAX_RETURNS
     };
     let untried = |c: &&Candidate| !request.full.contains(&c.holder.instance);
-    let with_room = all.iter().filter(|c| c.free > 0).filter(untried);
+    // The reported sizes cover a bit more than the need, so one that reports no fitting capacity may still have some.
+    if !all.iter().filter(untried).any(|c| c.fitting > 0) {
+        all.iter_mut().for_each(|c| c.fitting = c.free);
+    }
+    let with_room = all.iter().filter(|c| c.fitting > 0).filter(untried);
     let mut with_room: Vec<_> = with_room.copied().collect();
     // A job that stays in one data centre is not affected by the loss of another one. After a dispatcher had no room, the
     // local ones are not preferred any more: the others in this data centre are as busy.
@@ -132,7 +141,7 @@
     let with_room = draw_two(with_room, request);
     let best = with_room
         .iter()
-        .max_by_key(|c| (c.free.min(request.tasks), c.local, c.free));
+        .max_by_key(|c| (c.fitting.min(request.tasks), c.local, c.fitting));
     if let Some(best) = best
         && (request.full.len() < max_returns || single)
     {
@@ -178,7 +187,7 @@
 
 /// Returns the dispatchers that have a worker which may take the tasks.
 fn placeable(holders: &[Holder], request: &Request) -> Vec<Candidate> {
-    let mut all = candidates(holders, request.dc);
+    let mut all = candidates(holders, request);
     all.retain(|c| {
         let key = (request.step, c.holder.instance);
         !request.unplaced.contains(&key)
@@ -194,16 +203,18 @@
     all
 }
 
-fn candidates(holders: &[Holder], own: DataCentreId) -> Vec<Candidate> {
+fn candidates(holders: &[Holder], request: &Request) -> Vec<Candidate> {
     let mut all: BTreeMap<InstanceId, Candidate> = BTreeMap::new();
     for holder in holders {
         let candidate = all.entry(holder.instance).or_insert(Candidate {
             holder: *holder,
             free: 0,
+            fitting: 0,
             local: false,
         });
         candidate.free += holder.load.free;
-        candidate.local |= holder.domain.dc == own;
+        candidate.fitting += holder.load.free_for(request.cpu);
+        candidate.local |= holder.domain.dc == request.dc;
     }
     all.into_values().collect()
 }
@@ -213,3 +224,7 @@
     candidates.truncate(2);
     candidates
 }
+
+#[cfg(test)]
+#[path = "choice_tests.rs"]
+mod tests;
--- a/crates/celerywinch_pool/src/submit.rs
+++ b/crates/celerywinch_pool/src/submit.rs
@@ -47,6 +47,7 @@
                 key
             }
             None => {
+                self.sizes.record(order.need.cpu);
                 let batch = self.new_batch(now, from, order, tasks.len());
                 let refusable = batch.order.refusable;
                 if refusable && !no_wait && self.refuse_new(now, &batch, &tasks, out) {
