Rank by capacity only where entries differ in it

Cause: review of the ranking: with equal capacities it compared numbers of shards before numbers of domains, so an entry with two shards in one data centre each ranked behind one with one shard in three, where it ranked before it. Change: the load for the capacity counts only if the entries that serve differ.

--- a/crates/celerywinch_domains/src/cluster_view.rs
+++ b/crates/celerywinch_domains/src/cluster_view.rs
@@ -28,8 +28,8 @@
     capacity: Capacity,
 }
 
-/// The rank of an entry for a shard; the lowest comes first. Owners of the shard come first, then entries that would
-/// own the fewest shards for their capacity with it, then those that own few other domains. A hash breaks ties, so that no
+/// The rank of an entry for a shard; the lowest comes first. Owners of the shard come first, then, if entries
+/// differ in capacity, those that would own the fewest shards for it with this one, then those that own few other domains. A hash breaks ties, so that no
 /// entry comes first for all shards.
 type Rank = (bool, u64, usize, u64);
 
@@ -58,13 +58,15 @@
         self.shards.get(&shard).copied().unwrap_or(0)
     }
 
-    fn rank(&self, shard: u8) -> Rank {
+    /// Returns its rank for a shard, with regard to its capacity if the entries differ in that.
+    fn rank(&self, shard: u8, by_capacity: bool) -> Rank {
         let owned_here = self.owned_in_shard(shard);
         // With this shard. Others count in full, as their further domains are acquired within a tick or two.
         let shards = self.shards.len() as u64 + u64::from(owned_here == 0);
+        let load = (shards << LOAD_FRACTION_BITS) / self.capacity.workers() as u64;
         (
             owned_here == 0,
-            (shards << LOAD_FRACTION_BITS) / self.capacity.workers() as u64,
+            if by_capacity { load } else { 0 },
             self.total - owned_here,
             tie_break(shard, self.id),
         )
@@ -95,12 +97,14 @@
 pub(crate) struct ClusterView {
     /// Entries that serve.
     entries: Vec<Candidate>,
+    /// Whether the entries that serve, and this one, differ in capacity.
+    by_capacity: bool,
     /// The highest fencing token under which another process owns each domain.
     fences: BTreeMap<Domain, Fence>,
 }
 
 impl ClusterView {
-    pub(crate) fn new(now: Time, peers: &Peers) -> Self {
+    pub(crate) fn new(now: Time, peers: &Peers, own: Option<Capacity>) -> Self {
         let mut entries = Vec::new();
         let mut fences: BTreeMap<Domain, Fence> = BTreeMap::new();
         for (id, view) in peers.alive(now) {
@@ -117,7 +121,12 @@
                 entries.push(Candidate::new(id, view.heartbeat.capacity, owned));
             }
         }
-        Self { entries, fences }
+        let own = own.unwrap_or(Capacity::USUAL);
+        Self {
+            by_capacity: entries.iter().any(|entry| entry.capacity != own),
+            entries,
+            fences,
+        }
     }
 
     /// Returns the highest fencing token under which another process owns a domain.
@@ -132,10 +141,14 @@
         owners.into_iter().any(|e| e.owner_rank(shard) < mine)
     }
 
+    fn rank(&self, entry: &Candidate, shard: u8) -> Rank {
+        entry.rank(shard, self.by_capacity)
+    }
+
     /// Whether this entry has the first rank for a shard, among itself and all live entries.
     pub(crate) fn ranks_first(&self, shard: u8, me: &Candidate) -> bool {
-        let mine = me.rank(shard);
-        !self.entries.iter().any(|e| e.rank(shard) < mine)
+        let mine = self.rank(me, shard);
+        !self.entries.iter().any(|e| self.rank(e, shard) < mine)
     }
 
     /// Returns the predecessors and successors of this entry, over all shards.
@@ -154,7 +167,7 @@
     fn successors(&self, shard: u8) -> impl Iterator<Item = InstanceId> {
         let mut first: Vec<(Rank, InstanceId)> = Vec::with_capacity(SUCCESSORS + 1);
         for entry in self.entries.iter().filter(|e| e.owned_in_shard(shard) == 0) {
-            let rank = (entry.rank(shard), entry.id);
+            let rank = (self.rank(entry, shard), entry.id);
             let at = first.partition_point(|other| *other < rank);
             if at < SUCCESSORS {
                 first.insert(at, rank);
@@ -166,8 +179,8 @@
 
     /// Adds the entries that rank before this one for a shard, if it is one of the successors.
     fn add_predecessors(&self, shard: u8, me: &Candidate, predecessors: &mut BTreeSet<InstanceId>) {
-        let mine = me.rank(shard);
-        let before = || self.entries.iter().filter(|e| e.rank(shard) < mine);
+        let mine = self.rank(me, shard);
+        let before = || self.entries.iter().filter(|e| self.rank(e, shard) < mine);
         let standbys = before().filter(|e| e.owned_in_shard(shard) == 0);
         if standbys.take(SUCCESSORS).count() < SUCCESSORS {
             predecessors.extend(before().map(|e| e.id));
