Simulated members: statistics of refusals, of the largest jobs and of work in time; runs that end early

Cause: the targets of the users under overload (refusals within 10 ms, the largest tenth served like its class, work done in time) were not in the report. The check of a job's tasks searched the whole history for each task, which took long with 350 workers, as did the 10 s after the load in which nothing happens.

Change: ClassStats gains prompt_refusals, refusal_p95_ms, timely_work, large_jobs and large_timely; jobs before `count_ms` are left out of the statistics, not of the checks. The runs of a history are indexed by task and job; the checks are the same. With `early_end` a run ends when all jobs have ended and no member has open work.

--- a/crates/celerywinch_bench/src/members/history.rs
+++ b/crates/celerywinch_bench/src/members/history.rs
@@ -2,7 +2,6 @@
 
 use std::collections::HashMap;
 
-use celerywinch_pool::RunEnd;
 use celerywinch_standin::Ran;
 use celerywinch_types::{JobId, TaskId, Time};
 
@@ -46,9 +45,3 @@
     }
     found
 }
-
-/// Returns whether a run of the task was completed.
-pub(crate) fn has_completed_run(runs: &[Ran], task: TaskId) -> bool {
-    runs.iter()
-        .any(|ran| ran.task == task && ran.how == RunEnd::Done)
-}
--- a/crates/celerywinch_bench/src/members/load.rs
+++ b/crates/celerywinch_bench/src/members/load.rs
@@ -305,6 +305,16 @@
     pub lost: usize,
     /// Jobs answered as failed.
     pub failed: usize,
-    /// Longest time to a refusal, in ms.
+    /// Longest time from a request to its refusal, in ms.
     pub max_refusal_ms: u32,
+    /// Jobs refused within 10 ms of the request.
+    pub prompt_refusals: usize,
+    /// Time from a request to its refusal that 95% of the refusals do not exceed, in ms.
+    pub refusal_p95_ms: u32,
+    /// Sum of the run times of jobs completed within their objectives, in ms.
+    pub timely_work: f64,
+    /// Jobs among the tenth with the longest sums of run times.
+    pub large_jobs: usize,
+    /// Of these, jobs completed within their objectives.
+    pub large_timely: usize,
 }
--- a/crates/celerywinch_bench/src/members/report.rs
+++ b/crates/celerywinch_bench/src/members/report.rs
@@ -1,16 +1,22 @@
 //! Report of a run: statistics and violations.
 
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use celerywinch_pool::RunEnd;
 use celerywinch_standin::Ran;
-use celerywinch_types::{JobEnd, TaskId};
+use celerywinch_types::{JobEnd, JobId, TaskId, Time};
 
 use super::callers::CallerJob;
 use super::faults::FaultPlan;
-use super::history::{Violation, has_completed_run, overlaps};
+use super::history::{Violation, overlaps};
 use super::load::ClassStats;
 use super::world::{MembersReport, World};
 
 /// Number of starts of a task, after it has crashed three workers, that violates the bound the users require.
 const RESTART_LIMIT: usize = 3;
+/// Time from a request to its refusal within which the refusal counts as prompt.
+const PROMPT_REFUSAL: Duration = Duration::from_millis(10);
 
 impl World {
     /// Checks the history of the run and collects its statistics.
@@ -28,14 +34,21 @@
             .violations
             .extend(std::mem::take(&mut self.violations));
         report.violations.extend(self.excessive_restarts());
-        let interrupted = |ran: &&Ran| ran.how == celerywinch_pool::RunEnd::Interrupted;
+        let interrupted = |ran: &&Ran| ran.how == RunEnd::Interrupted;
         report.runs = (
             self.history.len(),
             self.history.iter().filter(interrupted).count(),
         );
         report.control = self.members.iter().map(|host| host.control).collect();
+        let runs = RunIndex::new(&self.history);
         for job in &self.jobs {
-            self.check_job(job, &mut report);
+            report.violations.extend(runs.check_job(job));
+        }
+        let start = Time(self.options.count_ms * 1_000);
+        for (class, stats) in report.classes.iter_mut().enumerate() {
+            let jobs = self.jobs.iter();
+            let counted = jobs.filter(|job| job.class == class && job.first_sent >= start);
+            *stats = class_stats(counted.collect());
         }
         for (index, host) in self.members.iter().enumerate() {
             if let Some(member) = &host.member
@@ -70,46 +83,94 @@
             .filter(|violation| matches!(violation, Violation::Restarted(_, starts) if *starts >= RESTART_LIMIT))
             .collect()
     }
+}
 
-    /// Checks the result of a job and adds it to the statistics of its class.
-    fn check_job(&self, job: &CallerJob, report: &mut MembersReport) {
-        let stats = &mut report.classes[job.class];
-        stats.submitted += 1;
+/// Runs of a history by job and task.
+struct RunIndex {
+    /// First run in the history of each job.
+    first: HashMap<JobId, Ran>,
+    /// Tasks that have a completed run.
+    completed: HashSet<TaskId>,
+}
+
+impl RunIndex {
+    fn new(history: &[Ran]) -> Self {
+        let mut first = HashMap::new();
+        for ran in history {
+            first.entry(ran.task.job).or_insert(*ran);
+        }
+        let done = history.iter().filter(|ran| ran.how == RunEnd::Done);
+        Self {
+            first,
+            completed: done.map(|ran| ran.task).collect(),
+        }
+    }
+
+    /// Checks the answer to a job against the runs of its tasks.
+    fn check_job(&self, job: &CallerJob) -> Vec<Violation> {
         match job.end {
-            Some((at, JobEnd::Completed)) => {
-                if at <= job.due {
-                    stats.on_time += 1;
-                } else {
-                    stats.late += 1;
-                }
+            Some((_, JobEnd::Completed)) => {
                 let tasks = (0..job.task_times.len() as u16).map(|index| TaskId {
                     job: job.id,
                     step: 0,
                     index,
                 });
-                let missing = tasks.filter(|task| !has_completed_run(&self.history, *task));
-                report.violations.extend(missing.map(Violation::NotDone));
+                let missing = tasks.filter(|task| !self.completed.contains(task));
+                missing.map(Violation::NotDone).collect()
             }
-            Some((_, JobEnd::Failed)) => stats.failed += 1,
-            Some((at, JobEnd::Refused(_))) => {
-                stats.refused += 1;
-                let took = at.since(job.sent_at).as_millis() as u32;
-                stats.max_refusal_ms = stats.max_refusal_ms.max(took);
-                let ran = self.history.iter().find(|ran| ran.task.job == job.id);
-                if let Some(ran) = ran.filter(|_| job.attempts == 1) {
-                    report
-                        .violations
-                        .push(Violation::FalseRefusal(job.id, *ran));
-                }
+            Some((_, JobEnd::Refused(_))) if job.attempts == 1 => {
+                let ran = self.first.get(&job.id).into_iter();
+                ran.map(|ran| Violation::FalseRefusal(job.id, *ran))
+                    .collect()
             }
-            Some((_, JobEnd::Unsure)) | None => {
-                stats.lost += 1;
-                if !job.abandoned && job.end.is_none() && job.attempts == 1 {
-                    report
-                        .violations
-                        .push(Violation::NoAnswer(job.id, job.first_sent));
-                }
+            None if !job.abandoned && job.attempts == 1 => {
+                vec![Violation::NoAnswer(job.id, job.first_sent)]
             }
+            _ => Vec::new(),
         }
     }
 }
+
+/// Returns the statistics of the jobs of a class.
+fn class_stats(mut jobs: Vec<&CallerJob>) -> ClassStats {
+    let mut stats = ClassStats {
+        submitted: jobs.len(),
+        ..ClassStats::default()
+    };
+    let mut refusals = Vec::new();
+    for job in &jobs {
+        match job.end {
+            Some((_, JobEnd::Completed)) if is_timely(job) => {
+                stats.on_time += 1;
+                stats.timely_work += work(job).as_secs_f64() * 1e3;
+            }
+            Some((_, JobEnd::Completed)) => stats.late += 1,
+            Some((_, JobEnd::Failed)) => stats.failed += 1,
+            Some((at, JobEnd::Refused(_))) => refusals.push(at.since(job.sent_at)),
+            Some((_, JobEnd::Unsure)) | None => stats.lost += 1,
+        }
+    }
+    refusals.sort_unstable();
+    let prompt = refusals.iter().filter(|took| **took <= PROMPT_REFUSAL);
+    stats.prompt_refusals = prompt.count();
+    stats.refused = refusals.len();
+    let ms = |took: &Duration| took.as_millis() as u32;
+    stats.max_refusal_ms = refusals.last().map_or(0, ms);
+    let p95 = (refusals.len() * 95).div_ceil(100).saturating_sub(1);
+    stats.refusal_p95_ms = refusals.get(p95).map_or(0, ms);
+    jobs.sort_by_key(|job| std::cmp::Reverse(work(job)));
+    jobs.truncate(jobs.len() / 10);
+    stats.large_jobs = jobs.len();
+    stats.large_timely = jobs.iter().filter(|job| is_timely(job)).count();
+    stats
+}
+
+/// Returns whether a job was completed within its objective.
+fn is_timely(job: &CallerJob) -> bool {
+    matches!(job.end, Some((at, JobEnd::Completed)) if at <= job.due)
+}
+
+/// Returns the sum of the run times of the tasks of a job on workers of speed 1.
+fn work(job: &CallerJob) -> Duration {
+    job.task_times.iter().sum()
+}
--- a/crates/celerywinch_bench/src/members/world.rs
+++ b/crates/celerywinch_bench/src/members/world.rs
@@ -41,6 +41,8 @@
 const STOP_GRACE: Duration = Duration::from_millis(1_500);
 /// Minimum time that the simulation runs on after the load; at its end no member may have open work.
 const SETTLE_TIME: Duration = Duration::from_secs(8);
+/// Interval at which a run that ends early checks whether all work has ended.
+const SETTLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time that the simulation runs on after the longest timeout of a caller. When a caller gives up, its tasks are
 /// stopped, and 400 ms later their ends are acknowledged to the workers.
 const LAST_CALLER_MARGIN: Duration = Duration::from_secs(2);
@@ -70,8 +72,12 @@
     pub link_rate: Option<u64>,
     /// Time at which the load ends, in ms from the start of the run.
     pub load_ms: u64,
+    /// Whether the run ends once all jobs have ended and no member has open work, instead of some seconds after the load.
+    pub early_end: bool,
     /// The load.
     pub load: LoadPlan,
+    /// Time from which on submitted jobs count in the statistics, in ms from the start of the run.
+    pub count_ms: u64,
     /// Calls to workers that get no answer, if any.
     pub unanswered: Option<UnansweredCalls>,
     /// Injected faults, if any.
@@ -93,7 +99,9 @@
             disabled: DisabledMechanisms::default(),
             link_rate: None,
             load_ms: 12_000,
+            early_end: false,
             load: LoadPlan::default(),
+            count_ms: 0,
             unanswered: None,
             faults: None,
             follow: None,
@@ -225,10 +233,17 @@
     let mut world = World::new(options);
     let end = Time(world.options.load_ms * 1_000);
     let stop_at = end + world.settle_time();
+    let mut next_check = end;
     while let Some(due) = world.events.next_due() {
         if due > stop_at {
             break;
         }
+        if world.options.early_end && due > next_check {
+            if world.is_settled() {
+                break;
+            }
+            next_check = due + SETTLE_CHECK_INTERVAL;
+        }
         world.now = due.max(world.now);
         let Some(event) = world.events.pop_due(world.now) else {
             break;
@@ -719,6 +734,13 @@
         }
     }
 
+    /// Returns whether all jobs have ended and no member has open work.
+    fn is_settled(&self) -> bool {
+        let mut members = self.members.iter().filter_map(|host| host.member.as_ref());
+        let ended = |job: &CallerJob| job.end.is_some() || job.abandoned;
+        self.jobs.iter().all(ended) && members.all(|member| !member.is_busy())
+    }
+
     fn settle_time(&self) -> Duration {
         let classes = self.options.load.classes.iter();
         let longest = classes.map(|class| class.timeout_ms).max().unwrap_or(0);
