Place tasks by their expected end where workers differ in speed

Cause: placement took the fastest worker for every task, so short tasks took the fast workers and long tasks were late on slow ones.

Change: where the learned paces of the workers spread, a task takes the worker with the best fit among those where it ends in time, slow ones first, and waits for a faster worker if it would be late on the free ones and one is expected to have room in time.

--- a/crates/celerywinch_bench/tests/members_slow.rs
+++ b/crates/celerywinch_bench/tests/members_slow.rs
@@ -1,8 +1,7 @@
 //! Simulated members and workers of which some turn slow, or go down and up by turns.
 
 use celerywinch_bench::members::{
-    FaultPlan, Impairment, ImpairmentPlan, LoadPlan, MembersOptions, MembersReport, REFERENCE_CPU,
-    Violation, reference_classes, run,
+    FaultPlan, Impairment, ImpairmentPlan, MembersOptions, MembersReport, Violation, run,
 };
 use celerywinch_types::{DisabledMechanisms, Mechanism};
 use rstest::rstest;
@@ -24,26 +23,15 @@
     };
     MembersOptions {
         seed: case.seed,
-        dcs: 3,
-        entries: 7,
-        workers: 48,
         shard_size: case.shard_size,
         disabled,
-        link_rate: None,
         load_ms: 13_000,
-        load: LoadPlan {
-            classes: reference_classes(),
-            cpu: REFERENCE_CPU,
-            burst: None,
-            lull: None,
-        },
-        unanswered: None,
         faults: Some(FaultPlan {
             interval_ms: 1_000,
             impaired: Some(impaired),
             ..FaultPlan::default()
         }),
-        follow: None,
+        ..MembersOptions::default()
     }
 }
 
--- a/crates/celerywinch_pool/src/lib.rs
+++ b/crates/celerywinch_pool/src/lib.rs
@@ -17,6 +17,7 @@
 mod config;
 mod crashes;
 mod event;
+mod expected_end;
 mod grants;
 mod incarnations;
 mod inflow;
--- a/crates/celerywinch_pool/src/place.rs
+++ b/crates/celerywinch_pool/src/place.rs
@@ -65,6 +65,10 @@
                 placed_all = false;
                 break;
             };
+            // The free capacity is left to the batches behind it.
+            if self.awaits_faster(now, &self.batches[key], worker) {
+                break;
+            }
             if !self.start_run(now, key, index, worker, out) {
                 placed_all = false;
                 break;
@@ -89,7 +93,8 @@
         let probing = self.needs_probe(batch);
         let cost = |key: WorkerKey, worker: &Worker| {
             let shared = PROBE_COST * self.probe_exposure(worker, probing) as f64;
-            placement_cost(batch, task, key, worker, packs)
+            self.placement_cost(now, batch, worker, packs)
+                + failed_on_cost(task, key)
                 + shared
                 + self.locality_cost(worker, probing)
                 + suspicion_cost(worker)
@@ -99,6 +104,22 @@
             .map(|(key, _)| key)
     }
 
+    /// Returns the cost of a task on a worker: the share of the worker left empty, and its pace or, where workers differ in
+    /// speed, the expected end.
+    fn placement_cost(&self, now: Time, batch: &Batch, worker: &Worker, packs: bool) -> f64 {
+        let remaining = worker.free().saturating_sub(batch.order.need).cpu;
+        let empty = if packs {
+            f64::from(remaining) / f64::from(worker.announcement.capacity.cpu.max(1))
+        } else {
+            0.0
+        };
+        if self.uneven {
+            return self.expected_end_cost(now, batch, worker, empty);
+        }
+        let pace = worker.pace * rack_factor(batch, worker);
+        empty + PACE_COST * pace
+    }
+
     /// Returns the cost of running a task in another data centre than the dispatcher's.
     ///
     /// A job whose tasks are spread over several data centres loses tasks with each data centre that fails; a local one
@@ -222,27 +243,18 @@
 }
 
 /// Returns the factor by which tasks of a batch take longer on a worker because of their distance to the data.
-fn rack_factor(batch: &Batch, worker: &Worker) -> f64 {
+pub(crate) fn rack_factor(batch: &Batch, worker: &Worker) -> f64 {
     match &batch.order.rack {
         Some(rack) if !worker.is_in_rack(rack) => REMOTE_RACK_FACTOR,
         _ => 1.0,
     }
 }
 
-/// Returns the cost of a task on a worker: the share of the worker left empty, its pace, and whether the task failed
-/// there last.
-fn placement_cost(batch: &Batch, task: &Task, key: WorkerKey, worker: &Worker, packs: bool) -> f64 {
-    let remaining = worker.free().saturating_sub(batch.order.need).cpu;
-    let empty = if packs {
-        f64::from(remaining) / f64::from(worker.announcement.capacity.cpu.max(1))
-    } else {
-        0.0
-    };
-    let pace = worker.pace * rack_factor(batch, worker);
-    let avoid = if task.failed_on == Some(key) {
+/// Returns the cost of the worker on which a task failed last.
+fn failed_on_cost(task: &Task, key: WorkerKey) -> f64 {
+    if task.failed_on == Some(key) {
         FAILED_ON_COST
     } else {
         0.0
-    };
-    empty + PACE_COST * pace + avoid
+    }
 }
--- a/crates/celerywinch_pool/src/pool.rs
+++ b/crates/celerywinch_pool/src/pool.rs
@@ -134,6 +134,8 @@
     pub(crate) input_count: u64,
     /// Batches whose tasks are returned if they find no free capacity during the current input.
     pub(crate) passing: Vec<BatchKey>,
+    /// Whether the workers differ in speed.
+    pub(crate) uneven: bool,
 }
 
 impl Pool {
@@ -169,6 +171,7 @@
             first_input: None,
             input_count: 0,
             passing: Vec::new(),
+            uneven: false,
         }
     }
 
@@ -321,6 +324,7 @@
     fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
         self.tick_workers(now, out);
         self.expire_suspicions(now);
+        self.compare_paces();
         self.tick_grants(now, out);
         self.tick_takeover(now, out);
         self.stop_unconfirmed_runs(now, out);
--- a/crates/celerywinch_pool/src/worker.rs
+++ b/crates/celerywinch_pool/src/worker.rs
@@ -80,6 +80,8 @@
     pub(crate) last_contact: Time,
     /// The ratio of run times on this worker to the usual run time.
     pub(crate) pace: f64,
+    /// The number of run times from which the pace was learned.
+    pub(crate) results: u32,
     /// The smoothed share of failures among its latest results.
     pub(crate) failure_rate: f64,
     /// The worker gets no tasks before this time.
@@ -117,6 +119,7 @@
             first_miss: now,
             last_contact: now,
             pace: 1.0,
+            results: 0,
             failure_rate: 0.0,
             quarantined_until: Time::default(),
             probation: false,
@@ -251,6 +254,7 @@
 
     /// Records a run time as a ratio to the expected time on a usual worker.
     pub(crate) fn learn_pace(&mut self, ratio: f64) {
+        self.results = self.results.saturating_add(1);
         let ratio = ratio.clamp(PACE_RANGE.0, PACE_RANGE.1);
         self.pace = (self.pace.ln() * (1.0 - PACE_WEIGHT) + ratio.ln() * PACE_WEIGHT).exp();
     }
--- a/crates/celerywinch_pool/tests/rig/mod.rs
+++ b/crates/celerywinch_pool/tests/rig/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub(crate) mod scene;
+
 use std::time::Duration;
 
 use celerywinch_pool::{
