--- a/crates/celerywinch_pool/src/pool.rs
+++ b/crates/celerywinch_pool/src/pool.rs
@@ -143,6 +143,8 @@
     pub(crate) passing: Vec<(BatchKey, BTreeSet<u16>)>,
     /// Reservations for tasks that are with their origins.
     pub(crate) reservations: Reservations,
+    /// Whether the workers differ in speed.
+    pub(crate) uneven: bool,
 }
 
 impl Pool {
@@ -182,6 +184,7 @@
             input_count: 0,
             passing: Vec::new(),
             reservations: Reservations::default(),
+            uneven: false,
         }
     }
 
@@ -340,6 +343,7 @@
     fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
         self.tick_workers(now, out);
         self.expire_suspicions(now);
+        self.compare_paces();
         self.tick_grants(now, out);
         self.tick_takeover(now, out);
         self.stop_unconfirmed_runs(now, out);
