--- a/crates/celerywinch_origin/src/choice_tests.rs
+++ b/crates/celerywinch_origin/src/choice_tests.rs
@@ -65,9 +65,13 @@
                 full: &[],
                 step: 0,
                 unplaced: &BTreeSet::new(),
+                reservable: false,
             },
         );
-        let instance = choice.map(|choice| choice.holder.instance.0);
+        let instance = choice.and_then(|route| match route {
+            Route::Submit(choice) => Some(choice.holder.instance.0),
+            Route::Reserve => None,
+        });
         assert_eq!(instance, case.chosen, "job {job}");
     }
 }
--- a/crates/celerywinch_origin/tests/reservations.rs
+++ b/crates/celerywinch_origin/tests/reservations.rs
@@ -23,7 +23,10 @@
             shard: instance as u8,
         },
         instance: InstanceId(instance),
-        load: Load { free, wait: [0; 3] },
+        load: Load {
+            free,
+            ..Load::default()
+        },
         preferred: true,
         local: true,
     }
