--- a/crates/celerywinch_origin/tests/reservations.rs
+++ b/crates/celerywinch_origin/tests/reservations.rs
@@ -442,3 +442,67 @@
     harness.handle(Input::Holders(vec![holder(4, 0), holder(5, 0)]));
     assert_eq!(harness.reserved_at(), ids(&[4, 5]));
 }
+
+/// A single dispatcher gets the same messages, and callers the same answers, with and without late binding.
+#[test]
+fn single_dispatcher_gets_the_same_messages() {
+    let record = |disabled| {
+        let mut origin = Origin::new(DC, disabled);
+        let mut out = Vec::new();
+        let mut now = Time(1_000_000);
+        let mut handle = |input| {
+            now = now + Duration::from_millis(30);
+            let from = out.len();
+            origin.handle(now, input, &mut out);
+            out[from..].to_vec()
+        };
+        let reply = |order: &StepOrder, end| {
+            let reports = order.tasks.iter().map(|task| TaskReport {
+                task: TaskId {
+                    job: order.job,
+                    step: order.step,
+                    index: task.index,
+                },
+                submission: task.submission,
+                end,
+            });
+            Input::Work(InstanceId(1), WorkMsg::Ended(reports.collect()))
+        };
+        let returned = TaskEnd::Returned {
+            at: None,
+            failures: 0,
+            run: RunNumber(1_001),
+        };
+        let ends = [
+            TaskEnd::Done,
+            TaskEnd::Full,
+            TaskEnd::Refused(300),
+            returned,
+            TaskEnd::Undetermined,
+            TaskEnd::GivenUp,
+        ];
+        for (id, end) in (0..).zip(ends) {
+            handle(Input::Holders(vec![holder(1, id as u32 % 2)]));
+            let new = NewJob {
+                id: JobId(id),
+                ..job(2)
+            };
+            let sent = handle(Input::Submit(CallerId(id), new));
+            for output in sent {
+                if let Output::Send(_, WorkMsg::Submit(order)) = output {
+                    handle(reply(&order, end));
+                }
+            }
+            handle(Input::Tick);
+            handle(Input::LinkReset(InstanceId(1)));
+            handle(Input::Work(InstanceId(1), WorkMsg::Resync(id)));
+        }
+        handle(Input::CallerGone(CallerId(1)));
+        handle(Input::PeerLost(InstanceId(1)));
+        handle(Input::Paused);
+        out
+    };
+    let without = record(DisabledMechanisms::default().with(Mechanism::LateBinding));
+    assert!(without.len() > 40);
+    assert_eq!(record(DisabledMechanisms::default()), without);
+}
--- a/crates/celerywinch_pool/src/reservations.rs
+++ b/crates/celerywinch_pool/src/reservations.rs
@@ -307,13 +307,10 @@
 
     /// Drops reservations of earlier sessions of their origins, and of origins that have never granted a start.
     pub(crate) fn drop_void_reservations(&mut self, now: Time) {
-        let sessions: BTreeMap<_, _> = self
-            .reservations
-            .origins()
-            .collect::<BTreeSet<_>>()
-            .into_iter()
-            .map(|origin| (origin, self.grants.session(origin)))
-            .collect();
+        let origins: BTreeSet<_> = self.reservations.origins().collect();
+        let sessions = origins.into_iter();
+        let sessions = sessions.map(|origin| (origin, self.grants.session(origin)));
+        let sessions: BTreeMap<_, _> = sessions.collect();
         self.drop_reservations(|waiting| match sessions[&waiting.batch.origin] {
             Some(session) => waiting.session() < session,
             None => now.since(waiting.reserved_at) >= GRANT_TIMEOUT,
