Soak: a switch for overload of uneven workers

Cause: no run of the members' soak exceeded the capacity for long, had workers of different speed, or tasks of which only some fit a hole, so tasks that wait at several dispatchers and jobs that are refused met few faults.

Change: `--overloaded` plays a burst of 1.5 to 3 times the load for 8 s on workers of 0.6 to 1.6 times the usual speed in two sizes, tasks of about half a worker and a long tail. `--mixed` adds it for two of seven seeds after the other switches are drawn, so all seeds keep the others and seeds 1 to 4 of members_mixes their whole mix.

Not run to the end when this was committed: members_mixes with its three new cases, and `--mixed` on fresh seeds.

--- a/crates/celerywinch_bench/src/members/switches.rs
+++ b/crates/celerywinch_bench/src/members/switches.rs
@@ -9,7 +9,10 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::faults::FaultPlan;
-use super::load::{ClassPlan, LoadPlan, Lull, REFERENCE_CPU, reference_classes};
+use super::load::{
+    ClassPlan, LoadPlan, Lull, REFERENCE_CPU, WorkerKinds, reference_classes, uneven_load,
+    uneven_workers,
+};
 use super::world::MembersOptions;
 
 /// Duration of the load, in ms.
@@ -39,7 +42,11 @@
 const LULL_LOAD_FACTORS: [f64; 4] = [0.05, 0.4, 0.1, 0.2];
 /// Timeout of callers in runs where messages are delayed for seconds, in ms; the users' callers wait up to 8 s.
 const LONG_TIMEOUT_MS: u32 = 8_000;
-/// Number of switches in a drawn mix.
+/// Start and end of the burst with [`Switch::Overloaded`], in ms.
+const OVERLOAD_MS: std::ops::Range<u64> = 3_000..11_000;
+/// Factors of that burst to the usual load; chosen by the seed.
+const OVERLOAD_FACTORS: [f64; 3] = [1.5, 2.0, 3.0];
+/// Number of switches in a drawn mix, without [`Switch::Overloaded`].
 const DRAWN: std::ops::RangeInclusive<usize> = 3..=5;
 
 /// A kind of fault or a condition, in addition to the faults of every run.
@@ -65,11 +72,14 @@
     Resets,
     /// There are so many entries that most exchange heartbeats rarely.
     Many,
+    /// A burst exceeds the capacity of workers of different speeds and sizes; tasks need about half of a worker, and some
+    /// take much longer than usual.
+    Overloaded,
 }
 
 impl Switch {
     /// All switches.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::Held,
         Self::Congested,
         Self::Refused,
@@ -80,6 +90,7 @@
         Self::Evacuated,
         Self::Resets,
         Self::Many,
+        Self::Overloaded,
     ];
 
     /// Returns the name of its command-line option.
@@ -96,6 +107,7 @@
             Self::Evacuated => "evacuated",
             Self::Resets => "resets",
             Self::Many => "many",
+            Self::Overloaded => "overloaded",
         }
     }
 
@@ -117,6 +129,7 @@
             Self::Evacuated => "start and end evacuations of data centres",
             Self::Resets => "reset many connections at once; callers retry at once",
             Self::Many => "run so many entries that most exchange heartbeats rarely",
+            Self::Overloaded => "exceed the capacity of uneven workers in a burst",
         }
     }
 }
@@ -126,15 +139,23 @@
 pub struct Switches(BTreeSet<Switch>);
 
 impl Switches {
-    /// Draws the mix of a seed: three to five switches.
+    /// Draws the mix of a seed: three to five switches, and [`Switch::Overloaded`] for two of seven seeds.
     #[must_use]
     pub fn draw(seed: u64) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let count = random.random_range(DRAWN);
-        Switch::ALL
+        let others: Vec<_> = Switch::ALL
+            .into_iter()
+            .filter(|switch| *switch != Switch::Overloaded)
+            .collect();
+        let mut drawn: BTreeSet<_> = others
             .choose_multiple(&mut random, count)
             .copied()
-            .collect()
+            .collect();
+        if seed % 7 >= 5 {
+            drawn.insert(Switch::Overloaded);
+        }
+        Self(drawn)
     }
 
     fn has(&self, switch: Switch) -> bool {
@@ -152,6 +173,17 @@
             calm_ms: LULL_FAULT_FREE_MS,
             factor: by_seed(&LULL_LOAD_FACTORS, seed / 4),
         };
+        let usual = LoadPlan {
+            classes: self.classes(),
+            cpu: REFERENCE_CPU,
+            lull: congested.then_some(lull),
+            ..LoadPlan::default()
+        };
+        let (load, kinds) = if self.has(Switch::Overloaded) {
+            (overload(usual, seed), uneven_workers())
+        } else {
+            (usual, WorkerKinds::default())
+        };
         MembersOptions {
             seed,
             dcs: 3,
@@ -165,12 +197,8 @@
             } else {
                 LOAD_MS
             },
-            load: LoadPlan {
-                classes: self.classes(),
-                cpu: REFERENCE_CPU,
-                lull: congested.then_some(lull),
-                ..LoadPlan::default()
-            },
+            kinds,
+            load,
             faults: Some(self.faults(seed)),
             ..MembersOptions::default()
         }
@@ -208,6 +236,18 @@
     }
 }
 
+/// Returns a load with a burst that exceeds the capacity, tasks like those of [`uneven_load`], and its long tail.
+fn overload(usual: LoadPlan, seed: u64) -> LoadPlan {
+    let factor = by_seed(&OVERLOAD_FACTORS, seed / 5);
+    let uneven = uneven_load();
+    LoadPlan {
+        cpu: uneven.cpu,
+        tail: uneven.tail,
+        burst: Some((OVERLOAD_MS.start, OVERLOAD_MS.end, factor)),
+        ..usual
+    }
+}
+
 impl FromIterator<Switch> for Switches {
     fn from_iter<I: IntoIterator<Item = Switch>>(switches: I) -> Self {
         Self(switches.into_iter().collect())
--- a/crates/celerywinch_bench/tests/members_mixes.rs
+++ b/crates/celerywinch_bench/tests/members_mixes.rs
@@ -54,3 +54,15 @@
     let report = run(switches.options(seed));
     assert_eq!(report.violations, Vec::<Violation>::new());
 }
+
+/// Guards against tasks that run twice, and answers that are wrong or missing, while tasks wait at several dispatchers and
+/// jobs are refused.
+#[rstest]
+#[case(Case { switches: &[Switch::Overloaded], seed: 1 })]
+#[case(Case { switches: &[Switch::Overloaded, Switch::Resets, Switch::Many], seed: 2 })]
+#[case(Case { switches: &[Switch::Overloaded, Switch::Held, Switch::Shrinking], seed: 3 })]
+fn overloaded_mixes_hold(#[case] case: Case) {
+    let switches: Switches = case.switches.iter().copied().collect();
+    let report = run(switches.options(case.seed));
+    assert_eq!(report.violations, Vec::<Violation>::new());
+}
