Reserve two places for each task

Cause: each dispatcher with a reservation held capacity for all its tasks, so with six of them five of six holds were in vain for a round trip. Change: places for twice the tasks in all, divided over at most four dispatchers.

--- a/crates/celerywinch_origin/src/choice.rs
+++ b/crates/celerywinch_origin/src/choice.rs
@@ -18,6 +18,9 @@
 const MAX_RETURNS_BEFORE_RESERVING: usize = 1;
 /// Number of dispatchers that have a reservation for the same tasks.
 const RESERVED_AT: usize = 4;
+/// Number of places that each reserved task has. All dispatchers with a place hold capacity for it, and all but one hold it in
+/// vain for a round trip: with more places, most of the capacity is held in vain under overload.
+pub(crate) const PLACES_PER_TASK: usize = 2;
 
 /// The dispatcher of a domain.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -163,14 +166,15 @@
     }))
 }
 
-/// Returns the dispatchers at which tasks are reserved: those with the shortest expected waits.
+/// Returns the dispatchers at which tasks are reserved, [`PLACES_PER_TASK`] for a single task: those with the shortest expected
+/// waits.
 pub(crate) fn reservation_targets(holders: &[Holder], request: &Request) -> Vec<InstanceId> {
     let mut all = preferred(placeable(holders, request));
     all.sort_by_key(|c| {
         let drawn = score(request.job.0, u64::from(c.holder.instance.0));
         (expected_wait(c, request), drawn)
     });
-    all.truncate(RESERVED_AT);
+    all.truncate(RESERVED_AT.min(PLACES_PER_TASK * request.tasks.max(1) as usize));
     all.iter().map(|c| c.holder.instance).collect()
 }
 
--- a/crates/celerywinch_origin/src/reservations.rs
+++ b/crates/celerywinch_origin/src/reservations.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::JobEvent;
-use crate::choice::{Choice, Request, reservation_targets};
+use crate::choice::{Choice, PLACES_PER_TASK, Request, reservation_targets};
 use crate::job::{Job, Task, TaskState};
 use crate::origin::{Origin, Output};
 
@@ -128,6 +128,7 @@
             return Outlook::Unreserved;
         };
         let started = job.may_have_started();
+        let pending = pending_count(job, step);
         let Some(reserved) = job.reservations.get_mut(&step) else {
             return Outlook::Unreserved;
         };
@@ -139,8 +140,11 @@
                 .filter(|_| !started)
                 .map_or(Outlook::Unreserved, Outlook::Declined);
         }
+        // Dispatchers that had the other places have declined or are lost.
+        let reserved_tasks: u16 = reserved.places.values().map(|place| place.tasks).sum();
+        let too_few = reserved_tasks < pending;
         let places = reserved.places.iter();
-        let doubtful = places.filter(|(_, place)| place.doubtful);
+        let doubtful = places.filter(|(_, place)| place.doubtful || too_few);
         let doubtful: Vec<_> = doubtful.map(|(dispatcher, _)| *dispatcher).collect();
         self.send_reservations(now, id, step, &doubtful, out);
         Outlook::Waiting
@@ -151,7 +155,10 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        let request = Request::new(self.dc, job, step);
+        let request = Request {
+            tasks: pending_count(job, step).into(),
+            ..Request::new(self.dc, job, step)
+        };
         let mut targets = reservation_targets(&self.holders, &request);
         let reserved = job.reservations.entry(step).or_default();
         reserved.renewed_at = now;
@@ -192,20 +199,23 @@
             order.spec.clear();
             order.session = session;
             order.refusable = !job.may_have_started();
-            let tasks = pending_count(job, step);
+            let pending = pending_count(job, step);
             let reserved = job.reservations.entry(step).or_default();
+            let all = reserved.places.len().max(dispatchers.len());
+            let tasks = tasks_of_place(pending, all);
             let place = Place {
                 number,
                 tasks,
                 doubtful: false,
             };
             reserved.places.insert(*dispatcher, place);
-            let all = reserved.places.len().max(dispatchers.len());
+            let places = usize::from(tasks) * all;
+            let copies = places.div_ceil(usize::from(pending.max(1)));
             let reservation = Reservation {
                 order,
                 number,
                 tasks,
-                dispatchers: u16::try_from(all).unwrap_or(u16::MAX),
+                copies: u16::try_from(copies).unwrap_or(u16::MAX),
             };
             out.push(Output::Send(*dispatcher, WorkMsg::Reserve(reservation)));
         }
@@ -437,6 +447,13 @@
     }
 }
 
+/// Returns the number of tasks that each of the dispatchers with a place for `pending` tasks reserves.
+fn tasks_of_place(pending: u16, dispatchers: usize) -> u16 {
+    let places = PLACES_PER_TASK * usize::from(pending);
+    let each = places.div_ceil(dispatchers.max(1));
+    u16::try_from(each).unwrap_or(u16::MAX).min(pending)
+}
+
 fn pending_count(job: &Job, step: u16) -> u16 {
     u16::try_from(job.pending_tasks(step).count()).unwrap_or(u16::MAX)
 }
--- a/crates/celerywinch_origin/tests/reservations.rs
+++ b/crates/celerywinch_origin/tests/reservations.rs
@@ -202,7 +202,7 @@
     let numbers: BTreeSet<_> = harness.reserved.iter().map(|(_, r)| r.number).collect();
     assert_eq!(numbers.len(), 3, "each message has a number of its own");
     for (_, reservation) in &harness.reserved {
-        assert_eq!((reservation.tasks, reservation.dispatchers), (2, 3));
+        assert_eq!((reservation.tasks, reservation.copies), (2, 3));
         assert!(reservation.order.refusable);
         assert!(reservation.order.spec.is_empty() && reservation.order.tasks.is_empty());
     }
--- a/crates/celerywinch_pool/src/event.rs
+++ b/crates/celerywinch_pool/src/event.rs
@@ -75,8 +75,8 @@
         origin: InstanceId,
         /// Number of its tasks that are pending.
         tasks: usize,
-        /// Number of dispatchers that have the reservation.
-        dispatchers: usize,
+        /// Number of places that each of them has, here and at other dispatchers.
+        copies: usize,
     },
     /// Capacity is held for a reservation and offered to its origin.
     Offered {
--- a/crates/celerywinch_pool/src/reservations.rs
+++ b/crates/celerywinch_pool/src/reservations.rs
@@ -41,8 +41,8 @@
     pub(crate) number: ReservationNumber,
     /// The number of tasks that are still with the origin.
     pub(crate) tasks: u16,
-    /// The number of dispatchers that have a reservation for them.
-    dispatchers: u16,
+    /// The number of places that each of them has, at this and at other dispatchers.
+    copies: u16,
     /// The capacity that is held for it.
     pub(crate) holds: Vec<HoldKey>,
     reserved_at: Time,
@@ -72,7 +72,7 @@
     /// Returns its share of the work of `tasks` tasks, in thousandths of a core times ms: each of the dispatchers that have
     /// the reservation expects to do the same part of the work.
     fn shared_work(&self, tasks: u16) -> f64 {
-        self.batch.work_of(tasks.into()) / f64::from(self.dispatchers.max(1))
+        self.batch.work_of(tasks.into()) / f64::from(self.copies.max(1))
     }
 }
 
@@ -129,7 +129,7 @@
             order,
             number,
             tasks,
-            dispatchers,
+            copies,
         } = reservation;
         // The origin has counted this dispatcher as lost since, and reserves again where it still wants to.
         if self
@@ -151,7 +151,7 @@
             batch,
             number,
             tasks,
-            dispatchers,
+            copies,
             holds: earlier.map(|earlier| earlier.holds).unwrap_or_default(),
             reserved_at: now,
             paused_until: Time::default(),
@@ -169,7 +169,7 @@
             job: waiting.batch.order.job,
             origin: from,
             tasks: tasks.into(),
-            dispatchers: dispatchers.into(),
+            copies: copies.into(),
         }));
         let reserved = waiting.reserved_for();
         let key = self.reservations.waiting.insert(waiting);
--- a/crates/celerywinch_pool/tests/reservations.rs
+++ b/crates/celerywinch_pool/tests/reservations.rs
@@ -40,7 +40,7 @@
         order,
         number: ReservationNumber(number),
         tasks,
-        dispatchers: 3,
+        copies: 3,
     }
 }
 
@@ -372,12 +372,12 @@
 /// Guards against counting waiting work once for each dispatcher that has its reservation.
 #[test]
 fn reserved_work_is_counted_in_shares() {
-    let wait = |dispatchers| {
+    let wait = |copies| {
         let mut rig = busy();
         let mut order = half(77, 6);
         order.refusable = false;
         let mut reservation = reservation(order, 1);
-        reservation.dispatchers = dispatchers;
+        reservation.copies = copies;
         reserve(&mut rig, ORIGIN, reservation);
         rig.pool.load(rig.now, DOMAIN).wait[0]
     };
--- a/crates/celerywinch_types/src/fleet.rs
+++ b/crates/celerywinch_types/src/fleet.rs
@@ -333,8 +333,8 @@
         pub number: ReservationNumber,
         /// The number of tasks that are pending.
         pub tasks: u16,
-        /// The number of dispatchers that have a reservation for them.
-        pub dispatchers: u16,
+        /// The number of places that each of them has, at the receiver and at other dispatchers.
+        pub copies: u16,
     }
 
     /// The reservations of a step up to a number.
