Soak members whose entries differ in capacity

Cause: in simulated fleets all entries had the same capacity, so nothing there ranked by it.

Two seeds of it in members_mixes.rs. Drawn mixes choose among one switch more, so a seed draws another mix than before.

--- a/crates/celerywinch/src/commands/soak.rs
+++ b/crates/celerywinch/src/commands/soak.rs
@@ -17,8 +17,8 @@
     \x20      celerywinch soak --members [--seed N] [--runs M] [--held]\n\
     \x20                                 [--congested] [--refused] [--drift] [--many]\n\
     \x20                                 [--reborn] [--shrinking] [--crashing]\n\
-    \x20                                 [--evacuated] [--resets] [--mixed]\n\
-    \x20                                 [--without NAMES]\n\n\
+    \x20                                 [--evacuated] [--resets] [--uneven]\n\
+    \x20                                 [--mixed] [--without NAMES]\n\n\
     Drives the state machines of the entries with a virtual clock under lost, duplicated, delayed and\n\
     reordered messages, crashes, freezes, partitions and lost state. Runs are deterministic per seed.\n\
     The last line is `steps=… starts=… violations=…`; exits with 1 on a violation.";
--- a/crates/celerywinch_bench/src/members/faults.rs
+++ b/crates/celerywinch_bench/src/members/faults.rs
@@ -43,6 +43,8 @@
     pub resets: bool,
     /// Whether the monotonic clocks of workers are up to 2% slow, each at its own rate.
     pub drift: bool,
+    /// Whether every third entry can carry three times as many workers as the others.
+    pub uneven: bool,
 }
 
 /// Fault to be injected. Traces print its name.
--- a/crates/celerywinch_bench/src/members/switches.rs
+++ b/crates/celerywinch_bench/src/members/switches.rs
@@ -65,11 +65,13 @@
     Resets,
     /// There are so many entries that most exchange heartbeats rarely.
     Many,
+    /// Some entries can carry more workers than others.
+    Uneven,
 }
 
 impl Switch {
     /// All switches.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::Held,
         Self::Congested,
         Self::Refused,
@@ -80,6 +82,7 @@
         Self::Evacuated,
         Self::Resets,
         Self::Many,
+        Self::Uneven,
     ];
 
     /// Returns the name of its command-line option.
@@ -96,6 +99,7 @@
             Self::Evacuated => "evacuated",
             Self::Resets => "resets",
             Self::Many => "many",
+            Self::Uneven => "uneven",
         }
     }
 
@@ -117,6 +121,7 @@
             Self::Evacuated => "start and end evacuations of data centres",
             Self::Resets => "reset many connections at once; callers retry at once",
             Self::Many => "run so many entries that most exchange heartbeats rarely",
+            Self::Uneven => "let every third entry carry three times as many workers",
         }
     }
 }
@@ -205,6 +210,7 @@
             crashing: self.has(Switch::Crashing),
             evacuated: self.has(Switch::Evacuated),
             resets: self.has(Switch::Resets),
+            uneven: self.has(Switch::Uneven),
         }
     }
 }
--- a/crates/celerywinch_bench/src/members/world.rs
+++ b/crates/celerywinch_bench/src/members/world.rs
@@ -47,6 +47,10 @@
 pub(crate) const START_WALL_MS: u64 = 1_700_000_000_000;
 /// Maximum error of wall clocks in runs with clock skew, in ms. In real deployments they jump by seconds.
 pub(crate) const MAX_SKEW_MS: u64 = 5_000;
+/// With uneven entries, one in this many can carry more workers than the others.
+const LARGE_ENTRY_INTERVAL: usize = 3;
+/// How many times as many workers it can carry.
+const LARGE_ENTRY_FACTOR: usize = 3;
 /// CPU of a worker, in thousandths of a core. Every third worker has 50% more.
 const WORKER_CPU: u32 = 32_000;
 
@@ -556,6 +560,13 @@
         right + drawn % (2 * MAX_SKEW_MS) - MAX_SKEW_MS
     }
 
+    /// Returns the maximum number of workers that a member takes as a dispatcher.
+    fn shard_size(&self, index: usize) -> usize {
+        let uneven = self.options.faults.is_some_and(|faults| faults.uneven);
+        let is_large = uneven && index.is_multiple_of(LARGE_ENTRY_INTERVAL);
+        self.options.shard_size * if is_large { LARGE_ENTRY_FACTOR } else { 1 }
+    }
+
     fn start_member(&mut self, index: usize) {
         let host = &mut self.members[index];
         host.incarnation += 1;
@@ -571,7 +582,7 @@
             kind: ProcessKind::Entry,
             dc: DataCentreId(host.dc),
             dcs: (0..self.options.dcs).map(DataCentreId).collect(),
-            shard_size: self.options.shard_size,
+            shard_size: self.shard_size(index),
             pool: PoolConfig {
                 disabled: self.options.disabled,
                 ..PoolConfig::default()
--- a/crates/celerywinch_bench/tests/members_lives.rs
+++ b/crates/celerywinch_bench/tests/members_lives.rs
@@ -52,6 +52,7 @@
     evacuated: false,
     resets: false,
     drift: false,
+    uneven: false,
 };
 
 const ALL: FaultPlan = FaultPlan {
--- a/crates/celerywinch_bench/tests/members_mixes.rs
+++ b/crates/celerywinch_bench/tests/members_mixes.rs
@@ -46,6 +46,17 @@
     assert_eq!(report.violations, Vec::<Violation>::new());
 }
 
+/// Guards against two dispatchers of one domain, and domains without one, where entries of different capacity rank for them
+/// while members are killed, stopped, frozen and partitioned.
+#[rstest]
+#[case(Case { switches: &[Switch::Uneven, Switch::Many, Switch::Held], seed: 87_001 })]
+#[case(Case { switches: &[Switch::Uneven, Switch::Refused], seed: 87_002 })]
+fn uneven_entries_hold(#[case] case: Case) {
+    let switches: Switches = case.switches.iter().copied().collect();
+    let report = run(switches.options(case.seed));
+    assert_eq!(report.violations, Vec::<Violation>::new());
+}
+
 /// A short run of mixes drawn by the seed; `celerywinch soak --members --mixed` makes longer ones.
 #[rstest]
 fn drawn_mixes_hold(#[values(1, 2, 3, 4)] seed: u64) {
