Rank equal entries as before also where they own parts of shards

Cause: found by review: entries of the same capacity were compared by shards before domains, so one with two domains of two shards came after one with three domains of one shard, where it came first before.

Change: shards for each worker of the capacity count only where a process knows of entries of different capacity.

--- a/crates/celerywinch_domains/src/cluster_view.rs
+++ b/crates/celerywinch_domains/src/cluster_view.rs
@@ -12,8 +12,7 @@
 /// 600 cases; the next entry then finds out by its probes, 100 ms later.
 const SUCCESSORS: usize = 4;
 
-/// The number of bits of the fraction of shards per worker. It is so fine that entries of the same capacity rank by their
-/// number of shards.
+/// The number of bits of the fraction of shards per worker.
 const LOAD_FRACTION_BITS: u32 = 32;
 
 /// An entry that serves, with the number of domains it owns.
@@ -29,7 +28,7 @@
 }
 
 /// The rank of an entry for a shard; the lowest comes first. Owners of the shard come first, then entries that would
-/// own the fewest shards for their capacity with it, then those that own few other domains. A hash breaks ties, so that no
+/// own the fewest shards for their capacity with it, if capacities differ, then those that own few other domains. A hash breaks ties, so that no
 /// entry comes first for all shards.
 type Rank = (bool, u64, usize, u64);
 
@@ -58,13 +57,15 @@
         self.shards.get(&shard).copied().unwrap_or(0)
     }
 
-    fn rank(&self, shard: u8) -> Rank {
+    /// Returns its rank; `uneven` states that not all entries have the same capacity.
+    fn rank(&self, shard: u8, uneven: bool) -> Rank {
         let owned_here = self.owned_in_shard(shard);
         // With this shard. Others count in full, as their further domains are acquired within a tick or two.
         let shards = self.shards.len() as u64 + u64::from(owned_here == 0);
+        let load = (shards << LOAD_FRACTION_BITS) / self.capacity.workers() as u64;
         (
             owned_here == 0,
-            (shards << LOAD_FRACTION_BITS) / self.capacity.workers() as u64,
+            if uneven { load } else { 0 },
             self.total - owned_here,
             tie_break(shard, self.id),
         )
@@ -93,6 +94,8 @@
 /// A snapshot of what the heartbeats of the other processes report.
 #[derive(Debug)]
 pub(crate) struct ClusterView {
+    /// Whether not all entries have the same capacity.
+    uneven: bool,
     /// Entries that serve.
     entries: Vec<Candidate>,
     /// The highest fencing token under which another process owns each domain.
@@ -100,7 +103,8 @@
 }
 
 impl ClusterView {
-    pub(crate) fn new(now: Time, peers: &Peers) -> Self {
+    pub(crate) fn new(now: Time, peers: &Peers, capacity: Option<Capacity>) -> Self {
+        let capacity = capacity.unwrap_or(Capacity::USUAL);
         let mut entries = Vec::new();
         let mut fences: BTreeMap<Domain, Fence> = BTreeMap::new();
         for (id, view) in peers.alive(now) {
@@ -117,7 +121,11 @@
                 entries.push(Candidate::new(id, view.heartbeat.capacity, owned));
             }
         }
-        Self { entries, fences }
+        Self {
+            uneven: entries.iter().any(|entry| entry.capacity != capacity),
+            entries,
+            fences,
+        }
     }
 
     /// Returns the highest fencing token under which another process owns a domain.
@@ -134,8 +142,11 @@
 
     /// Whether this entry has the first rank for a shard, among itself and all live entries.
     pub(crate) fn ranks_first(&self, shard: u8, me: &Candidate) -> bool {
-        let mine = me.rank(shard);
-        !self.entries.iter().any(|e| e.rank(shard) < mine)
+        let mine = me.rank(shard, self.uneven);
+        !self
+            .entries
+            .iter()
+            .any(|e| e.rank(shard, self.uneven) < mine)
     }
 
     /// Returns the predecessors and successors of this entry, over all shards.
@@ -154,7 +165,7 @@
     fn successors(&self, shard: u8) -> impl Iterator<Item = InstanceId> {
         let mut first: Vec<(Rank, InstanceId)> = Vec::with_capacity(SUCCESSORS + 1);
         for entry in self.entries.iter().filter(|e| e.owned_in_shard(shard) == 0) {
-            let rank = (entry.rank(shard), entry.id);
+            let rank = (entry.rank(shard, self.uneven), entry.id);
             let at = first.partition_point(|other| *other < rank);
             if at < SUCCESSORS {
                 first.insert(at, rank);
@@ -166,8 +177,12 @@
 
     /// Adds the entries that rank before this one for a shard, if it is one of the successors.
     fn add_predecessors(&self, shard: u8, me: &Candidate, predecessors: &mut BTreeSet<InstanceId>) {
-        let mine = me.rank(shard);
-        let before = || self.entries.iter().filter(|e| e.rank(shard) < mine);
+        let mine = me.rank(shard, self.uneven);
+        let before = || {
+            self.entries
+                .iter()
+                .filter(|e| e.rank(shard, self.uneven) < mine)
+        };
         let standbys = before().filter(|e| e.owned_in_shard(shard) == 0);
         if standbys.take(SUCCESSORS).count() < SUCCESSORS {
             predecessors.extend(before().map(|e| e.id));
--- a/crates/celerywinch_domains/src/domains.rs
+++ b/crates/celerywinch_domains/src/domains.rs
@@ -224,7 +224,7 @@
                 self.silent_since.entry(dc).or_insert(now);
             }
         }
-        let view = ClusterView::new(now, peers);
+        let view = ClusterView::new(now, peers, self.me.capacity);
         for dc in self.dcs.clone() {
             for shard in 0..self.shards {
                 let domain = Domain { dc, shard };
@@ -240,7 +240,7 @@
         if self.me.stage != Stage::Ready {
             return Succession::default();
         }
-        ClusterView::new(now, peers).succession(self.shards, &self.candidate())
+        ClusterView::new(now, peers, self.me.capacity).succession(self.shards, &self.candidate())
     }
 
     fn candidate(&self) -> Candidate {
--- a/crates/celerywinch_domains/tests/capacities.rs
+++ b/crates/celerywinch_domains/tests/capacities.rs
@@ -5,8 +5,8 @@
 
 use celerywinch_domains::{Domains, LocalEntry, Peers};
 use celerywinch_types::{
-    Capacity, DataCentreId, Evacuations, FleetHeartbeat, Incarnation, InstanceId, OwnedDomain,
-    Process, ProcessKind, Stage, Time, WallMs,
+    Capacity, DataCentreId, Domain, Evacuations, Fence, FleetHeartbeat, Incarnation, InstanceId,
+    OwnedDomain, Process, ProcessKind, Stage, Time, WallMs,
 };
 use rstest::rstest;
 
@@ -287,3 +287,50 @@
     fleet.restart_all();
     assert_eq!(fleet.owners(), after, "entries that are back take nothing");
 }
+
+/// Guards against another ranking of equal entries that own shards in some data centres only: one with two domains of two
+/// shards ranks before those with three domains of one shard, so it is among the four that would take over.
+#[rstest]
+fn equal_entries_rank_by_domains(#[values(None, SMALL, LARGE)] capacity: Option<usize>) {
+    let mut fleet = Fleet::new(3, 6, &[(6, capacity)]);
+    let partial = 2;
+    let owned = |instance: u32| -> Vec<(u8, u8)> {
+        match instance {
+            2 => vec![(0, 20), (1, 21)],
+            shard => (0..3).map(|dc| (dc, 20 + shard as u8)).collect(),
+        }
+    };
+    let now = fleet.now + TICK_INTERVAL;
+    let heartbeats: Vec<_> = fleet.entries[1..]
+        .iter()
+        .map(|entry| {
+            let owned = owned(entry.me.instance.0).into_iter();
+            let owned_domains = owned.map(|(dc, shard)| OwnedDomain {
+                domain: Domain {
+                    dc: DataCentreId(dc),
+                    shard,
+                },
+                fence: Fence(1 << 60),
+                load: Default::default(),
+            });
+            let heartbeat = FleetHeartbeat {
+                owned_domains: owned_domains.collect(),
+                ..entry.heartbeat(now)
+            };
+            (entry.me.instance, heartbeat)
+        })
+        .collect();
+    let me = &mut fleet.entries[0];
+    for (instance, heartbeat) in heartbeats {
+        let process = Process {
+            instance,
+            incarnation: Incarnation(1),
+        };
+        me.peers
+            .record_heartbeat(now, process, heartbeat, Duration::from_millis(350));
+    }
+    assert_eq!(me.domains.owned().len(), 3, "one shard");
+    let succession = me.domains.succession(now, &me.peers);
+    assert!(succession.successors.contains(&InstanceId(partial)));
+    assert_eq!(succession.successors.len(), 4);
+}
