--- a/crates/celerywinch/src/commands/soak.rs
+++ b/crates/celerywinch/src/commands/soak.rs
@@ -17,7 +17,7 @@
     \x20      celerywinch soak --members [--seed N] [--runs M] [--held]\n\
     \x20                                 [--congested] [--refused] [--drift] [--many]\n\
     \x20                                 [--reborn] [--shrinking] [--crashing]\n\
-    \x20                                 [--evacuated] [--resets] [--overloaded]\n\
+    \x20                                 [--evacuated] [--resets] [--overloaded] [--uneven]\n\
     \x20                                 [--mixed] [--without NAMES]\n\n\
     Drives the state machines of the entries with a virtual clock under lost, duplicated, delayed and\n\
     reordered messages, crashes, freezes, partitions and lost state. Runs are deterministic per seed.\n\
--- a/crates/celerywinch_bench/src/members/faults.rs
+++ b/crates/celerywinch_bench/src/members/faults.rs
@@ -46,6 +46,8 @@
     pub drift: bool,
     /// Workers that are impaired together, if any.
     pub impaired: Option<ImpairmentPlan>,
+    /// Whether every third entry can carry three times as many workers as the others.
+    pub uneven: bool,
 }
 
 /// Fault to be injected. Traces print its name.
--- a/crates/celerywinch_bench/src/members/switches.rs
+++ b/crates/celerywinch_bench/src/members/switches.rs
@@ -75,11 +75,13 @@
     /// A burst exceeds the capacity of workers of different speeds and sizes; tasks need about half of a worker, and some
     /// take much longer than usual.
     Overloaded,
+    /// Some entries can carry more workers than others.
+    Uneven,
 }
 
 impl Switch {
     /// All switches.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 12] = [
         Self::Held,
         Self::Congested,
         Self::Refused,
@@ -91,6 +93,7 @@
         Self::Resets,
         Self::Many,
         Self::Overloaded,
+        Self::Uneven,
     ];
 
     /// Returns the name of its command-line option.
@@ -108,6 +111,7 @@
             Self::Resets => "resets",
             Self::Many => "many",
             Self::Overloaded => "overloaded",
+            Self::Uneven => "uneven",
         }
     }
 
@@ -130,6 +134,7 @@
             Self::Resets => "reset many connections at once; callers retry at once",
             Self::Many => "run so many entries that most exchange heartbeats rarely",
             Self::Overloaded => "exceed the capacity of uneven workers in a burst",
+            Self::Uneven => "let every third entry carry three times as many workers",
         }
     }
 }
@@ -233,6 +238,7 @@
             evacuated: self.has(Switch::Evacuated),
             resets: self.has(Switch::Resets),
             impaired: None,
+            uneven: self.has(Switch::Uneven),
         }
     }
 }
--- a/crates/celerywinch_bench/tests/members_lives.rs
+++ b/crates/celerywinch_bench/tests/members_lives.rs
@@ -51,6 +51,7 @@
     resets: false,
     drift: false,
     impaired: None,
+    uneven: false,
 };
 
 const ALL: FaultPlan = FaultPlan {
--- a/crates/celerywinch_bench/tests/members_reserved.rs
+++ b/crates/celerywinch_bench/tests/members_reserved.rs
@@ -22,7 +22,7 @@
         load,
         unanswered: None,
         faults: None,
-        follow: None,
+        ..MembersOptions::default()
     }
 }
 
