--- a/crates/celerywinch_bench/tests/members_uneven.rs
+++ b/crates/celerywinch_bench/tests/members_uneven.rs
@@ -1,86 +1,93 @@
-//! Simulated deployment with tasks and run times that vary widely.
+//! Simulated workers of different speeds and sizes, whose tasks need about half a worker.
 
 use celerywinch_bench::members::{
-    ClassPlan, ClassStats, LoadPlan, MembersOptions, Tail, Violation, reference_classes, run,
+    ClassPlan, ClassStats, LoadPlan, MembersOptions, MembersReport, Violation, half_worker_load,
+    run, uneven_load, uneven_workers,
 };
 use celerywinch_types::{DisabledMechanisms, Mechanism};
 
-/// Returns a deployment of 350 workers under 16 dispatchers with a load of `factor` times the usual one, of tasks that need half
-/// of a usual worker.
-fn options(seed: u64, factor: f64, tail: Option<Tail>, disabled: &[Mechanism]) -> MembersOptions {
-    let scaled = |class: ClassPlan| ClassPlan {
-        rate: class.rate * 6.0 * factor,
-        ..class
-    };
-    let none = DisabledMechanisms::default();
+/// Workers of the reference load, and of these tests.
+const REFERENCE_WORKERS: f64 = 350.0;
+const WORKERS: u32 = 81;
+
+struct Case {
+    /// The load, as a multiple of the usual one.
+    load: f64,
+    /// The largest number of workers of one dispatcher.
+    shard_size: usize,
+    seed: u64,
+}
+
+fn without() -> DisabledMechanisms {
+    DisabledMechanisms::default().with(Mechanism::ExpectedEnd)
+}
+
+fn options(case: &Case, disabled: DisabledMechanisms) -> MembersOptions {
+    let mut classes = uneven_load().classes;
+    for class in &mut classes {
+        class.rate *= case.load * f64::from(WORKERS) / REFERENCE_WORKERS;
+    }
     MembersOptions {
-        seed,
-        dcs: 3,
-        entries: 28,
-        workers: 350,
-        shard_size: 32,
-        disabled: disabled.iter().fold(none, |all, one| all.with(*one)),
-        link_rate: None,
-        load_ms: 6_000,
+        seed: case.seed,
+        entries: 12,
+        workers: WORKERS,
+        kinds: uneven_workers(),
+        shard_size: case.shard_size,
+        disabled,
+        load_ms: 7_000,
         load: LoadPlan {
-            classes: reference_classes().into_iter().map(scaled).collect(),
-            cpu: 16_000,
-            tail,
-            ..LoadPlan::default()
+            classes,
+            ..half_worker_load()
         },
         ..MembersOptions::default()
     }
 }
 
-/// Returns the shares of jobs in time, late and refused, in thousandths.
-fn shares(classes: &[ClassStats]) -> [usize; 3] {
-    let sum = |of: fn(&ClassStats) -> usize| classes.iter().map(of).sum::<usize>();
-    let submitted = sum(|class| class.submitted).max(1);
-    [
-        sum(|class| class.on_time),
-        sum(|class| class.late + class.lost),
-        sum(|class| class.refused),
-    ]
-    .map(|count| count * 1_000 / submitted)
+/// Returns the share of the tasks' work whose jobs were completed within their objectives.
+fn work_in_aim(report: &MembersReport, classes: &[ClassPlan]) -> f64 {
+    let work = |jobs: fn(&ClassStats) -> usize| -> f64 {
+        let classes = report.classes.iter().zip(classes);
+        let work = classes.map(|(stats, plan)| {
+            f64::from(plan.task_ms * u32::from(plan.mean_tasks)) * jobs(stats) as f64
+        });
+        work.sum()
+    };
+    work(|stats| stats.on_time) / work(|stats| stats.submitted)
 }
 
-/// Compares the shares with and without each mechanism, for reports. `TRIAL` is the name of one mechanism, `LOADS` the factors of
-/// the load, separated by commas.
+/// Guards against long tasks that are late on slow workers while short ones take the fast ones: 81 workers of 0.6 to 1.6 times
+/// the usual speed at 1.5 times the usual load, with one dispatcher.
 #[test]
-#[ignore = "prints figures, takes minutes"]
-fn shares_with_and_without() {
-    let only = std::env::var("TRIAL").unwrap_or_default();
-    let loads = std::env::var("LOADS").unwrap_or_else(|_| "1.0,1.3,1.5,1.7".to_owned());
-    let factors = loads.split(',').map(|load| load.parse().expect("a number"));
-    let factors: Vec<f64> = factors.collect();
-    let tail = Some(Tail {
-        share: 0.03,
-        factor: 7.0,
-    });
-    let cases = [
-        ("size-classes", Mechanism::SizeClasses, None),
-        ("efficiency", Mechanism::Efficiency, None),
-        ("quantiles", Mechanism::Quantiles, tail),
-    ];
-    for (name, mechanism, tail) in cases {
-        if only != name {
-            continue;
-        }
-        for factor in factors.iter().copied() {
-            let simulate = move |disabled: &[Mechanism]| {
-                let report = run(options(1, factor, tail, disabled));
-                assert_eq!(report.violations, Vec::<Violation>::new());
-                let classes = report.classes.iter().map(|class| shares(&[*class]));
-                format!(
-                    "{:?} {:?}",
-                    shares(&report.classes),
-                    classes.collect::<Vec<_>>()
-                )
-            };
-            let without = std::thread::spawn(move || simulate(&[mechanism]));
-            let with = simulate(&[]);
-            let without = without.join().expect("the simulation does not panic");
-            println!("{name} x {factor}: with {with}, without {without}");
-        }
-    }
+fn long_tasks_leave_slow_workers() {
+    let case = Case {
+        load: 1.5,
+        shard_size: 100,
+        seed: 1,
+    };
+    let with = run(options(&case, DisabledMechanisms::default()));
+    let without = run(options(&case, without()));
+    assert_eq!(with.violations, Vec::<Violation>::new());
+    let classes = uneven_load().classes;
+    let (gain, before) = (
+        work_in_aim(&with, &classes),
+        work_in_aim(&without, &classes),
+    );
+    assert!(
+        gain > before,
+        "{:?}, without {:?}",
+        with.classes,
+        without.classes
+    );
+}
+
+/// Guards against placements that change where workers do not differ: 48 workers of equal speed.
+#[test]
+fn equal_workers_serve_the_same() {
+    let options = |disabled| MembersOptions {
+        disabled,
+        load_ms: 5_000,
+        ..MembersOptions::default()
+    };
+    let with = run(options(DisabledMechanisms::default()));
+    assert_eq!(with, run(options(without())));
 }
