End the exchange of offers that a job cannot use

Cause: a dispatcher offered capacity for a task that it could not start (its step there waits for a probe), returned the task as Full, got the reservation again and offered again, all within one input where origin and dispatcher are one process: the process grew past its memory. Change: after two offers of a dispatcher that a job could not use, it is not reserved there any more; with none left, one dispatcher keeps the tasks.

--- a/crates/celerywinch_origin/src/job.rs
+++ b/crates/celerywinch_origin/src/job.rs
@@ -101,6 +101,8 @@
     pub(crate) full: Vec<InstanceId>,
     /// Dispatchers of which no worker may take the tasks of a step.
     pub(crate) unplaced: BTreeSet<(u16, InstanceId)>,
+    /// Submissions that dispatchers returned although they had offered capacity for them.
+    pub(crate) missed_offers: BTreeMap<InstanceId, BTreeSet<SubmissionNumber>>,
     /// Reservations by step.
     pub(crate) reservations: BTreeMap<u16, StepReservations>,
 }
@@ -138,6 +140,7 @@
             maybe_ran: false,
             full: Vec::new(),
             unplaced: BTreeSet::new(),
+            missed_offers: BTreeMap::new(),
             reservations: BTreeMap::new(),
         }
     }
--- a/crates/celerywinch_origin/src/origin.rs
+++ b/crates/celerywinch_origin/src/origin.rs
@@ -371,6 +371,10 @@
             }
             TaskEnd::Full => {
                 task.state = TaskState::Pending;
+                if !job.full.is_empty() {
+                    let missed = job.missed_offers.entry(from).or_default();
+                    missed.insert(submission);
+                }
                 if !job.full.contains(&from) {
                     job.full.push(from);
                 }
@@ -537,7 +541,9 @@
         let job = &self.jobs[&id];
         let request = Request {
             tasks: u32::try_from(pending).unwrap_or(u32::MAX),
-            reservable: self.binds_late() && job.may_reserve(step),
+            reservable: self.binds_late()
+                && job.may_reserve(step)
+                && !self.targets(job, step).is_empty(),
             ..Request::new(self.dc, job, step)
         };
         match choose(&self.holders, &request) {
--- a/crates/celerywinch_origin/src/reservations.rs
+++ b/crates/celerywinch_origin/src/reservations.rs
@@ -20,6 +20,10 @@
 /// shorter than callers wait.
 const RENEW_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// Number of a dispatcher's offers that a job could not use, after which it is not reserved there any more. One may have
+/// been overtaken by the loss of the worker.
+const MAX_MISSED_OFFERS: usize = 2;
+
 /// How long an offer may be on its way when its reservation is released. The release frees what it holds, so it needs no
 /// other answer.
 const CROSSING_TIME: Duration = Duration::from_millis(40);
@@ -89,6 +93,12 @@
             .filter(|task| task.state == TaskState::Pending)
     }
 
+    /// Whether a dispatcher has offered capacity several times that could not be used. It would go on to do so at once.
+    fn distrusts_offers_of(&self, dispatcher: InstanceId) -> bool {
+        let missed = self.missed_offers.get(&dispatcher);
+        missed.is_some_and(|missed| missed.len() >= MAX_MISSED_OFFERS)
+    }
+
     /// Whether a dispatcher may hold capacity for tasks of a step without knowing them. It has to keep a task that may have
     /// crashed a worker away from others of that kind.
     pub(crate) fn may_reserve(&self, step: u16) -> bool {
@@ -124,6 +134,7 @@
         step: u16,
         out: &mut Vec<Output>,
     ) -> Outlook {
+        self.release_distrusted(now, id, step);
         let Some(job) = self.jobs.get_mut(&id) else {
             return Outlook::Unreserved;
         };
@@ -150,16 +161,32 @@
         Outlook::Waiting
     }
 
+    /// Releases the reservations of a step at dispatchers whose offers it could not use.
+    fn release_distrusted(&mut self, now: Time, id: JobId, step: u16) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let places = job.reservations.get(&step).map(|step| step.places.keys());
+        let distrusted = places.into_iter().flatten().copied();
+        let distrusted = distrusted.filter(|dispatcher| job.distrusts_offers_of(*dispatcher));
+        for dispatcher in distrusted.collect::<Vec<_>>() {
+            self.release(now, dispatcher, id, step);
+            let job = self.jobs.get_mut(&id);
+            if let Some(step) = job.and_then(|job| job.reservations.get_mut(&step)) {
+                step.places.remove(&dispatcher);
+            }
+        }
+    }
+
     /// Reserves a step at several dispatchers. Those that have its reservation get it again.
     pub(crate) fn reserve_step(&mut self, now: Time, id: JobId, step: u16, out: &mut Vec<Output>) {
-        let Some(job) = self.jobs.get_mut(&id) else {
+        let Some(job) = self.jobs.get(&id) else {
             return;
         };
-        let request = Request {
-            tasks: pending_count(job, step).into(),
-            ..Request::new(self.dc, job, step)
+        let mut targets = self.targets(job, step);
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
         };
-        let mut targets = reservation_targets(&self.holders, &request);
         let reserved = job.reservations.entry(step).or_default();
         reserved.renewed_at = now;
         targets.retain(|dispatcher| !reserved.declined.contains_key(dispatcher));
@@ -179,6 +206,17 @@
         self.send_reservations(now, id, step, &targets, out);
     }
 
+    /// Returns the dispatchers at which a step may be reserved.
+    pub(crate) fn targets(&self, job: &Job, step: u16) -> Vec<InstanceId> {
+        let request = Request {
+            tasks: pending_count(job, step).into(),
+            ..Request::new(self.dc, job, step)
+        };
+        let holders = self.holders.iter().copied();
+        let holders = holders.filter(|holder| !job.distrusts_offers_of(holder.instance));
+        reservation_targets(&holders.collect::<Vec<_>>(), &request)
+    }
+
     fn send_reservations(
         &mut self,
         now: Time,
--- a/crates/celerywinch_origin/tests/reservations.rs
+++ b/crates/celerywinch_origin/tests/reservations.rs
@@ -509,3 +509,32 @@
     assert!(without.len() > 40);
     assert_eq!(record(DisabledMechanisms::default()), without);
 }
+
+/// Guards against an endless exchange of offers and returned tasks: dispatchers offer capacity that the tasks cannot use, at
+/// once and again. In the end one dispatcher keeps them.
+#[rstest]
+#[case::one_dispatcher(&[2], false)]
+#[case::all_dispatchers(&[1, 2, 3], true)]
+fn unusable_offers_end(#[case] unusable: &[u32], #[case] kept: bool) {
+    const ROUNDS: usize = 50;
+    let mut harness = Harness::new(2, &[0, 2, 0], DisabledMechanisms::default());
+    let (to, order) = harness.submitted[0].clone();
+    harness.reply(to, &order, TaskEnd::Full);
+    let mut rounds = 0;
+    while rounds < ROUNDS {
+        let offering = harness.take_reserved();
+        let offering = offering.intersection(&ids(unusable)).next().copied();
+        let Some(from) = offering else {
+            break;
+        };
+        let before = harness.submitted.len();
+        harness.offer(from.0, 2);
+        if let Some((to, order)) = harness.submitted.get(before).cloned() {
+            harness.reply(to, &order, TaskEnd::Full);
+        }
+        rounds += 1;
+    }
+    assert!(rounds < ROUNDS, "{:?}", harness.submitted);
+    let last = harness.submitted.last().expect("a submission");
+    assert_eq!(!last.1.no_wait, kept);
+}
