--- a/crates/celerywinch_pool/src/holds.rs
+++ b/crates/celerywinch_pool/src/holds.rs
@@ -51,11 +51,16 @@
         let probing = self.needs_probe(&waiting.batch);
         let mut unheld = self.reservations.unheld_tasks(key);
         let mut offered = 0;
+        let mut waits = false;
         while unheld > 0 {
             let batch = &self.reservations.waiting[key].batch;
             let Some(worker) = self.choose_worker(now, batch, None) else {
                 break;
             };
+            if self.awaits_faster(now, batch, worker) {
+                waits = true;
+                break;
+            }
             let tasks = if probing { unheld } else { 1 };
             self.hold(now, key, worker, tasks);
             unheld -= tasks;
@@ -76,7 +81,7 @@
                 tasks: offered.into(),
             }));
         }
-        unheld == 0
+        unheld == 0 || waits
     }
 
     fn hold(&mut self, now: Time, reservation: ReservationKey, worker: WorkerKey, tasks: u16) {
--- a/crates/celerywinch_pool/src/place.rs
+++ b/crates/celerywinch_pool/src/place.rs
@@ -25,6 +25,14 @@
 /// Cost of the worker on which the task failed last, in shares of a worker left empty.
 const FAILED_ON_COST: f64 = 50.0;
 
+/// Whether tasks may wait for a faster worker although one is free.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Patience {
+    MayWait,
+    /// That was decided as the capacity was held.
+    None,
+}
+
 impl Pool {
     /// Starts the waiting tasks that fit, in queue order. A batch that finds no free capacity does not block smaller ones
     /// behind it.
@@ -64,7 +72,22 @@
     }
 
     /// Starts the waiting tasks of a batch. Returns false if one of them found no worker.
-    pub(crate) fn place_batch(&mut self, now: Time, key: BatchKey, out: &mut Vec<Output>) -> bool {
+    fn place_batch(&mut self, now: Time, key: BatchKey, out: &mut Vec<Output>) -> bool {
+        self.start_waiting(now, key, Patience::MayWait, out)
+    }
+
+    /// Starts the waiting tasks of a batch for which capacity was held. Returns false if one of them found no worker.
+    pub(crate) fn place_held(&mut self, now: Time, key: BatchKey, out: &mut Vec<Output>) -> bool {
+        self.start_waiting(now, key, Patience::None, out)
+    }
+
+    fn start_waiting(
+        &mut self,
+        now: Time,
+        key: BatchKey,
+        patience: Patience,
+        out: &mut Vec<Output>,
+    ) -> bool {
         self.dequeue(key);
         let batch = &self.batches[key];
         let startable = |task: &Task| {
@@ -85,7 +108,8 @@
                 break;
             };
             // The free capacity is left to the batches behind it.
-            if self.awaits_faster(now, &self.batches[key], worker) {
+            if patience == Patience::MayWait && self.awaits_faster(now, &self.batches[key], worker)
+            {
                 break;
             }
             if !self.start_run(now, key, index, worker, out) {
--- a/crates/celerywinch_pool/src/submit.rs
+++ b/crates/celerywinch_pool/src/submit.rs
@@ -78,7 +78,7 @@
         if no_wait && (known.is_none() || !self.config.disabled.contains(Mechanism::LateBinding)) {
             // Its capacity was held in the order of the queue.
             if self.take_holds(now, reserved, count, out) {
-                self.place_batch(now, key, out);
+                self.place_held(now, key, out);
             }
             self.passing.push((key, added));
         }
