--- a/crates/celerywinch_pool/tests/expected_end.rs
+++ b/crates/celerywinch_pool/tests/expected_end.rs
@@ -2,9 +2,10 @@
 
 mod rig;
 
-use celerywinch_pool::PoolConfig;
-use celerywinch_types::Mechanism;
+use celerywinch_pool::{Input, PoolConfig};
+use celerywinch_types::{JobId, Mechanism, PriorRuns, Reservation, ReservationNumber, WorkMsg};
 use rig::scene::{Scene, Work, ordinary};
+use rig::{ORIGIN, step};
 use rstest::rstest;
 
 fn without() -> PoolConfig {
@@ -30,6 +31,20 @@
     scene
 }
 
+/// Takes all room on the usual and the fast worker by tasks of this run time, in ms.
+fn occupy(scene: &mut Scene, usual: u32) {
+    // Two fit on each worker; the callers of those on the slow one leave.
+    for job in 1..=6 {
+        scene.submit(job, ordinary(usual));
+    }
+    for job in 1..=6 {
+        if scene.last_worker(job) == Some("slow") {
+            scene.cancel(job);
+        }
+    }
+    scene.advance(30);
+}
+
 /// A task that arrives while others run.
 struct Case {
     config: PoolConfig,
@@ -66,16 +81,7 @@
 fn placements(#[case] case: Case) {
     let mut scene = trained(case.config);
     if let Some(usual) = case.running {
-        // Two fit on each worker; the callers of those on the slow one leave.
-        for job in 1..=6 {
-            scene.submit(job, ordinary(usual));
-        }
-        for job in 1..=6 {
-            if scene.last_worker(job) == Some("slow") {
-                scene.cancel(job);
-            }
-        }
-        scene.advance(30);
+        occupy(&mut scene, usual);
     }
     scene.submit(99, ordinary(case.usual));
     assert_eq!(scene.last_worker(99), case.starts);
@@ -106,3 +112,26 @@
     assert!(with.len() > 1_000, "{} calls", with.len());
     assert_eq!(with, calls(without()));
 }
+
+/// Guards against offers of capacity on a slow worker that the submitted task would not take: it would be returned, reserved
+/// and offered the same capacity again.
+#[rstest]
+#[case::long_task_waits(PoolConfig::default(), 0)]
+#[case::without(without(), 1)]
+fn offers_follow_placement(#[case] config: PoolConfig, #[case] offers: usize) {
+    let mut scene = trained(config);
+    occupy(&mut scene, 200);
+    let mut order = step(PriorRuns::None, 0);
+    (order.job, order.estimate, order.critical_path) = (JobId(99), 900, 900);
+    order.queue = "900 ms".to_owned();
+    order.tasks.clear();
+    let reservation = Reservation {
+        order,
+        number: ReservationNumber(1),
+        tasks: 1,
+        copies: 2,
+    };
+    let msg = WorkMsg::Reserve(reservation);
+    scene.rig.handle(Input::Work(ORIGIN, msg));
+    assert_eq!(scene.rig.offers.len(), offers);
+}
