--- a/review/1/case.py
+++ b/review/1/case.py
@@ -17,7 +17,8 @@
 CLIENTS = 6
 TASK_MS = 600
 LOAD_S = 30.0
-# The time between two announcements of the other writer; three are sent.
+# How many announcements the other writer sends, and the time before each.
+STRAYS = 3
 STRAY_GAP_S = 8.0
 
 
@@ -43,7 +44,7 @@
             await asyncio.sleep(random.uniform(0, 0.3))
 
     async def strays():
-        while trouble and time.monotonic() < end - 2:
+        for _ in range(STRAYS if trouble else 0):
             await asyncio.sleep(STRAY_GAP_S)
             worker = max(workers, key=lambda worker: len(worker.runs))
             body = {"service": "otra7c1", "address": f"127.{fleet.net}.200.1:{WORKERS_PORT}", "zone": worker.zone,
