--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -73,18 +73,20 @@
         print(line, flush=True)
 
 
-def free_net():
-    """Returns a second byte of addresses that nobody uses."""
+def reserve_net():
+    """Returns a second byte of addresses that nobody uses, and a socket that reserves it against other runs."""
     for _ in range(50):
         net = random.randint(10, 210)
+        reservation = socket.socket()
         try:
-            with socket.socket() as probe:
-                probe.bind((f"127.{net}.1.16", CONTROL_PORT))
-            with socket.socket() as probe:
-                probe.bind((f"127.{net}.1.60", METRICS_PORT))
-            return net
+            reservation.bind((f"127.{net}.250.250", CONTROL_PORT))
+            reservation.listen()
+            for host in ("1.16", "1.60"):
+                with socket.socket() as probe:
+                    probe.bind((f"127.{net}.{host}", METRICS_PORT))
+            return net, reservation
         except OSError:
-            continue
+            reservation.close()
     raise CannotRun("no free loopback addresses")
 
 
@@ -160,7 +162,7 @@
         if not os.path.exists(COMMAND[0]):
             raise CannotRun(f"{COMMAND[0]} does not exist: run the build of the deploy file first")
         self.record, self.plan = record, plan
-        self.net = free_net()
+        self.net, self.reservation = reserve_net()
         self.folder = tempfile.mkdtemp(prefix="celerywinch-review-")
         self.keepers = []
         self.entries = []
@@ -187,6 +189,7 @@
             node.start(bootstrap=True)
 
     def close(self):
+        self.reservation.close()
         for node in self.keepers + self.entries:
             if node.process is not None and node.running():
                 node.process.send_signal(signal.SIGCONT)
