--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,72 +1,68 @@
-"""A core machine is replaced as planned; then another one loses its disk."""
+"""Another writer's announcements name workers that are at work, with a service that isn't named here."""
 
 import asyncio
+import json
 import os
-import signal
+import random
 import sys
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "standin"))
 
-from fleet import BOUNDS, GRACE_S, CannotRun, Operator, run_case  # noqa: E402
+from fleet import BOUNDS, CONTROL_PORT, ZONES, CannotRun, Operator, http, run_case  # noqa: E402
+from workers import WORKERS_PORT, Client, Ledger, Worker  # noqa: E402
 
-CATCH_UP_S = BOUNDS["catchUpS"]
-CONTACT_S = BOUNDS["contactMs"] / 1000
-# How long the successor has run when the replaced machine is stopped.
-SUCCESSOR_LEAD_S = CATCH_UP_S + 2.0
-# How long after the end of the replaced machine the next one loses its disk. The replaced one does not count as lost
-# any more, as its successor has had `catchUpS`.
-PAUSE_S = 4.2
-# How long the machine that loses its disk is down.
-DOWN_S = 1.0
+WORKERS = 12
+CLIENTS = 6
+TASK_MS = 600
+LOAD_S = 30.0
+# The time between two announcements of the other writer; three are sent.
+STRAY_GAP_S = 8.0
 
 
 async def case(fleet, record, trouble):
-    operator = Operator(record)
+    operator, ledger = Operator(record), Ledger(record)
     fleet.start()
     if await operator.put(fleet.keepers, operator.document(7, ["pule252"]), 15) is None:
         raise CannotRun("the first configuration was not accepted")
-    await asyncio.sleep(CONTACT_S)
-    first, second, third = fleet.keepers
-    keepers = list(fleet.keepers)
-    if trouble:
-        successor = fleet.spare_keeper(third.zone)
-        successor.start()
-        await asyncio.sleep(SUCCESSOR_LEAD_S)
-        third.signal(signal.SIGTERM)
-        await third.wait_end(GRACE_S)
-        keepers = [first, second, successor]
-        record(f"{third.name} is removed for good; its successor has run for "
-               f"{time.monotonic() - successor.started:.1f} s (catchUpS is {CATCH_UP_S})")
-    else:
-        await asyncio.sleep(SUCCESSOR_LEAD_S)
-    await asyncio.sleep(PAUSE_S)
-    version = 12
-    changed = operator.document(version, ["pule252", "pufi791"])
-    acked_by = await operator.put(keepers, changed, BOUNDS["ackMs"] / 1000)
-    if acked_by is None:
-        raise CannotRun("the change was not acknowledged before the loss of the disk")
-    if trouble:
-        lost = second if acked_by is not second else first
-        lost.signal(signal.SIGKILL)
-        await lost.wait_end(1)
-        await asyncio.sleep(DOWN_S)
-        lost.disk_number += 1
-        lost.start()
-    # From now on nothing is disturbed. The service may be suspended until recoveryS after all machines are back.
-    await asyncio.sleep(BOUNDS["recoveryS"] + CATCH_UP_S)
-    read = await operator.get(keepers, CONTACT_S + 10)
-    later = operator.document(15, ["pule252"])
-    accepted = await operator.put(keepers, later, BOUNDS["ackMs"] / 1000 + 4)
-    if read is None:
-        return (f"CONFIG: the acknowledged version {version} is not read back "
-                f"{BOUNDS['recoveryS'] + CATCH_UP_S} s and more after the last disturbance; "
-                f"a later change was {'acknowledged' if accepted else 'not acknowledged either'}")
-    if read != changed:
-        return f"CONFIG: version {read['version']} is read back, version {version} was acknowledged"
-    if accepted is None:
-        return "CONFIG: a valid change is never acknowledged"
+    workers = []
+    for index in range(WORKERS):
+        ip = f"127.{fleet.net}.{100 + index % 3}.{1 + index // 3}"
+        worker = Worker(fleet, ledger, f"w{index}", ZONES[index % 3], ip, operator.service, keeps_id=True)
+        await worker.start()
+        workers.append(worker)
+    await asyncio.sleep(BOUNDS["contactMs"] / 1000)
+    client = Client(ledger, operator, fleet.entries, "pule252")
+    end = time.monotonic() + LOAD_S
+
+    async def load():
+        while time.monotonic() < end:
+            step = {"count": 4, "cpu": 4000, "memMb": 64, "estimateMs": TASK_MS}
+            await client.job([step], TASK_MS, tries=1, deadline=3)
+            await asyncio.sleep(random.uniform(0, 0.3))
+
+    async def strays():
+        while trouble and time.monotonic() < end - 2:
+            await asyncio.sleep(STRAY_GAP_S)
+            worker = max(workers, key=lambda worker: len(worker.runs))
+            body = {"service": "otra7c1", "address": f"127.{fleet.net}.200.1:{WORKERS_PORT}", "zone": worker.zone,
+                    "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
+                    "capacity": {"cpu": 16000, "memMb": 32768, "gpu": 0}, "labels": ["a", "r9-1"], "clockMs": 4711,
+                    "sequence": 1, "born": int(time.time() * 1000)}
+            keeper = random.choice(fleet.keepers)
+            status, _ = await http(f"{keeper.ip}:{CONTROL_PORT}", "PUT", f"/-/instances/{worker.id}",
+                                   json.dumps(body))
+            record(f"another writer: PUT /-/instances/{worker.id} with service {body['service']} at {keeper.name}: "
+                   f"{status}; {worker.id} is at work on {len(worker.runs)} tasks")
+
+    await asyncio.gather(strays(), *[load() for _ in range(CLIENTS)])
+    record(f"answers: {client.answers}; starts: {ledger.starts}")
+    if ledger.breaks:
+        counts = {}
+        for rule, _ in ledger.breaks:
+            counts[rule] = counts.get(rule, 0) + 1
+        return f"{counts}; the first: {ledger.breaks[0][1]}"
     return None
 
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 # standard library only, so they are only checked.
 set -euo pipefail
 cd "$(dirname "$0")"
-for file in standin/*.py */case.py; do
+for file in standin/*.py */case.py tried/*/case.py; do
     python3 -c 'import ast, sys; ast.parse(open(sys.argv[1], encoding="utf-8").read(), sys.argv[1])' "$file"
 done
