Ask an announced incarnation before the runs of the known one are given up

Cause: `replace_worker` gave up the runs of the earlier incarnation at once if the later one had another address. The announcement alone was taken as proof that the earlier one had ended.

Change: an announcement at another address is a claim. The owner of its domain calls it there, and only a list that states the announced incarnation makes it the known one and ends the runs. The known incarnation is called at its own address meanwhile. Service, address and data centre of an incarnation do not change, so announcements that contradict them change nothing.

Why it works: a run is given up only by the worker's own answer, by a 421 from the address that it was started at, or after its lease.

--- a/crates/celerywinch_fleet/src/metrics.rs
+++ b/crates/celerywinch_fleet/src/metrics.rs
@@ -54,6 +54,7 @@
     given_up: IntCounter,
     quarantined: IntCounter,
     lost_workers: IntCounterVec,
+    claims: IntCounterVec,
     changes: IntCounter,
     messages: IntCounterVec,
     message_bytes: IntCounterVec,
@@ -111,6 +112,11 @@
                 "Workers that are gone, by how this was detected.",
                 "why",
             )?,
+            claims: meter.counter_vec(
+                "worker_claims_total",
+                "Announcements of known workers at other addresses, and those that were not confirmed there.",
+                "what",
+            )?,
             changes: meter.counter(
                 "changes_total",
                 "Domains acquired or resigned by this process.",
@@ -225,6 +231,8 @@
             PoolEvent::WorkerGone { why, .. } => {
                 self.lost_workers.with_label_values(&[why.label()]).inc()
             }
+            PoolEvent::WorkerClaimed { .. } => self.claims.with_label_values(&["announced"]).inc(),
+            PoolEvent::ClaimDropped { .. } => self.claims.with_label_values(&["dropped"]).inc(),
             PoolEvent::Acquired { .. } | PoolEvent::Resigned { .. } => self.changes.inc(),
             PoolEvent::Offered { .. } => self.count_offer("made"),
             PoolEvent::OfferUsed { took, .. } => {
--- a/crates/celerywinch_pool/src/call.rs
+++ b/crates/celerywinch_pool/src/call.rs
@@ -154,7 +154,8 @@
 pub(crate) struct PendingCall {
     /// The incarnation that was called. Once a later one is known, the answer is discarded: it would attribute the
     /// clock, the runs and the fencing token of one incarnation to the other.
-    pub(crate) worker: crate::worker::WorkerKey,
+    /// None for a claimed incarnation.
+    pub(crate) worker: Option<crate::worker::WorkerKey>,
     pub(crate) purpose: CallPurpose,
 }
 
@@ -165,6 +166,8 @@
     Stop(crate::run::RunKey),
     StopForeign(crate::worker::WorkerKey),
     Poll(crate::worker::WorkerKey, PollKind, PollContext),
+    /// Asks an announced incarnation whether it is running.
+    Claim(crate::claims::ClaimKey),
 }
 
 /// The kind of a poll.
--- a/crates/celerywinch_pool/src/event.rs
+++ b/crates/celerywinch_pool/src/event.rs
@@ -1,7 +1,10 @@
 //! Decisions of the dispatcher that are logged, with their reasons.
 
+use std::net::SocketAddr;
+
 use celerywinch_types::{
-    Crashes, DeclineReason, Domain, InstanceId, JobId, RunNumber, Session, SubmissionNumber, TaskId,
+    Crashes, DeclineReason, Domain, Incarnation, InstanceId, JobId, RunNumber, Session,
+    SubmissionNumber, TaskId,
 };
 use serde::Serialize;
 
@@ -215,6 +218,24 @@
         /// The reason.
         why: &'static str,
     },
+    /// A known worker is announced at another address; the incarnation there is asked whether it is running.
+    WorkerClaimed {
+        /// The worker.
+        worker: String,
+        /// The announced incarnation.
+        incarnation: Incarnation,
+        /// The announced address.
+        addr: SocketAddr,
+    },
+    /// An announced incarnation has not confirmed that it is running.
+    ClaimDropped {
+        /// The worker.
+        worker: String,
+        /// The announced incarnation.
+        incarnation: Incarnation,
+        /// The announced address.
+        addr: SocketAddr,
+    },
     /// A worker is gone.
     WorkerGone {
         /// The worker.
@@ -279,6 +300,8 @@
             | Self::Moved { .. }
             | Self::WorkerSilent { .. }
             | Self::WorkerAside { .. }
+            | Self::WorkerClaimed { .. }
+            | Self::ClaimDropped { .. }
             | Self::WorkerGone { .. }
             | Self::Crashed { .. }
             | Self::GivenUp { .. }
--- a/crates/celerywinch_pool/src/incarnations.rs
+++ b/crates/celerywinch_pool/src/incarnations.rs
@@ -5,6 +5,7 @@
 //! one are discarded.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use celerywinch_types::{
     AnnouncementVersion, Incarnation, MAX_INCARNATIONS, Time, WorkerAnnouncement, WorkerStage,
@@ -36,18 +37,19 @@
         }
     }
 
-    fn of(&self, incarnation: Incarnation) -> Option<WorkerAnnouncement> {
-        self.0.get(&incarnation).cloned()
+    fn at(&self, addr: SocketAddr, incarnation: Incarnation) -> Option<WorkerAnnouncement> {
+        let known = self.0.get(&incarnation);
+        known.filter(|known| known.addr == addr).cloned()
     }
 }
 
 impl Pool {
-    /// Replaces a worker by a later incarnation.
+    /// Replaces a worker by another incarnation, which is announced at the same address or has answered at another one.
     ///
-    /// A request that the earlier incarnation did not answer may reach the later one, which would carry it out. So its
-    /// runs are not given up before the later one has listed its runs: a task started elsewhere in between would run
-    /// twice. That takes one call or, if the worker does not answer, as long as any task waits that may be running
-    /// elsewhere.
+    /// At the same address, the announcement alone does not end the runs of the earlier incarnation: it may be wrong, and a
+    /// request that was not answered may reach the later one, which would carry it out. So its runs are not given up
+    /// before the worker has listed its runs: a task started elsewhere in between would run twice. That takes one call
+    /// or, if the worker does not answer, as long as any task waits that may be running elsewhere.
     pub(crate) fn replace_worker(
         &mut self,
         now: Time,
@@ -118,7 +120,7 @@
         let worker = &self.workers[key];
         let announcement = worker
             .other_incarnations
-            .of(incarnation)
+            .at(worker.announcement.addr, incarnation)
             .unwrap_or_else(|| WorkerAnnouncement {
                 stage: WorkerStage::Ready,
                 version: AnnouncementVersion {
@@ -143,8 +145,8 @@
         self.short_poll(key, out);
     }
 
-    /// Transfers a run of an earlier incarnation to the later one. If the address has changed, the later one cannot
-    /// have received a request that was sent to the earlier one, so the run is lost.
+    /// Transfers a run of an earlier incarnation to the later one. If that one has answered at another address, it cannot have
+    /// received a request that was sent to the earlier one, so the run is lost.
     fn inherit_run(
         &mut self,
         now: Time,
--- a/crates/celerywinch_pool/src/leases.rs
+++ b/crates/celerywinch_pool/src/leases.rs
@@ -156,7 +156,7 @@
                 self.expire_lease(now, key, out);
             }
             if self.workers[key].is_lost(now, self.config.remove_after) {
-                self.remove_worker(now, key, Departure::Silent, out);
+                self.remove_incarnation(now, key, Departure::Silent, out);
             } else if !self.remove_if_left(now, key, out) {
                 self.poll(now, key, out);
             }
--- a/crates/celerywinch_pool/src/lib.rs
+++ b/crates/celerywinch_pool/src/lib.rs
@@ -14,6 +14,7 @@
 mod admission;
 mod answer_times;
 mod call;
+mod claims;
 mod config;
 mod crashes;
 mod event;
--- a/crates/celerywinch_pool/src/pool.rs
+++ b/crates/celerywinch_pool/src/pool.rs
@@ -13,6 +13,7 @@
 
 use crate::answer_times::AnswerTimes;
 use crate::call::{Answer, Call, CallKey, CallPurpose, PendingCall, PollKind, Request};
+use crate::claims::{Claims, is_same_incarnation};
 use crate::crashes::CrashHistory;
 use crate::grants::{Grant, Grants};
 use crate::inflow::Inflow;
@@ -104,6 +105,8 @@
     pub(crate) evacuated: BTreeSet<DataCentreId>,
     pub(crate) workers: SlotMap<WorkerKey, Worker>,
     pub(crate) worker_ids: BTreeMap<String, WorkerKey>,
+    /// Announced incarnations of these workers at other addresses.
+    pub(crate) claims: Claims,
     /// Workers that have left, by name.
     departed: BTreeMap<String, Departed>,
     /// For each removed worker, how often it had restarted and when it was removed.
@@ -158,6 +161,7 @@
             evacuated: BTreeSet::new(),
             workers: SlotMap::with_key(),
             worker_ids: BTreeMap::new(),
+            claims: Claims::default(),
             departed: BTreeMap::new(),
             removed: BTreeMap::new(),
             addr_counts: BTreeMap::new(),
@@ -257,7 +261,7 @@
                 .all(|call| self.is_idle_poll(call.purpose))
     }
 
-    /// Returns whether a call is a poll of an idle worker.
+    /// Returns whether a call is a poll of an idle worker, or of an incarnation that has not answered yet.
     fn is_idle_poll(&self, call: CallPurpose) -> bool {
         match call {
             CallPurpose::Poll(worker, PollKind::Long, _) => {
@@ -267,6 +271,7 @@
             | CallPurpose::Start(_)
             | CallPurpose::Stop(_)
             | CallPurpose::StopForeign(_) => false,
+            CallPurpose::Claim(_) => true,
         }
     }
 
@@ -342,6 +347,7 @@
 
     fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
         self.tick_workers(now, out);
+        self.tick_claims(now, out);
         self.expire_suspicions(now);
         self.compare_paces();
         self.tick_grants(now, out);
@@ -392,26 +398,38 @@
             self.record_departure(now, &announcement);
         }
         let Some(key) = self.worker_ids.get(&announcement.id).copied() else {
-            let departed = self.departed.get(&announcement.id);
-            let has_left =
-                departed.is_some_and(|left| announcement.version.incarnation <= left.incarnation);
-            if !gone && !has_left {
+            if !gone && !self.has_left(&announcement) {
                 self.add_unknown(now, announcement, out);
             }
             return;
         };
-        let known = self.workers[key].announcement.version;
-        match announcement.version.incarnation.cmp(&known.incarnation) {
-            Ordering::Less if gone => {}
-            Ordering::Less => self.earlier_incarnation_announced(key, announcement, out),
+        let incarnation = announcement.version.incarnation;
+        let known = &self.workers[key].announcement;
+        let moved = announcement.addr != known.addr;
+        let order = incarnation.cmp(&known.version.incarnation);
+        match order {
             Ordering::Equal if gone => self.worker_left(now, key, out),
-            // A delayed announcement must not restore an earlier state.
-            Ordering::Equal if announcement.version <= known => {}
-            Ordering::Equal => self.update_worker(key, announcement),
+            Ordering::Less | Ordering::Greater if gone && (moved || order.is_lt()) => {
+                self.claim_left(&announcement.id, incarnation);
+            }
+            _ if moved => self.record_claim(now, announcement, out),
+            // One address is in one data centre. A call under the token of another one could depose the worker's dispatcher.
+            _ if announcement.dc != known.dc => {}
+            Ordering::Less => self.earlier_incarnation_announced(key, announcement, out),
             Ordering::Greater => self.replace_worker(now, key, announcement, out),
+            Ordering::Equal if !is_same_incarnation(known, &announcement) => {}
+            // A delayed announcement must not restore an earlier state.
+            Ordering::Equal if announcement.version <= known.version => {}
+            Ordering::Equal => self.workers[key].announcement = announcement,
         }
     }
 
+    /// Returns whether the incarnation of an announcement, or a later one, has left.
+    pub(crate) fn has_left(&self, announcement: &WorkerAnnouncement) -> bool {
+        let departed = self.departed.get(&announcement.id);
+        departed.is_some_and(|left| announcement.version.incarnation <= left.incarnation)
+    }
+
     /// Returns whether a worker takes new tasks and its data centre is not evacuated.
     pub(crate) fn accepts_tasks(&self, now: Time, worker: &Worker) -> bool {
         worker.accepts_tasks(now) && !self.evacuated.contains(&worker.announcement.dc)
@@ -440,17 +458,6 @@
         known.last_contact = now;
     }
 
-    /// Applies a newer announcement of the known incarnation of a worker.
-    fn update_worker(&mut self, key: WorkerKey, announcement: WorkerAnnouncement) {
-        let worker = &mut self.workers[key];
-        let addr = std::mem::replace(&mut worker.announcement, announcement).addr;
-        let new = worker.announcement.addr;
-        if addr != new {
-            self.remove_addr(addr);
-            *self.addr_counts.entry(new).or_default() += 1;
-        }
-    }
-
     /// Handles the announcement with which a worker leaves.
     ///
     /// If the acknowledgement is lost, the worker keeps running for seconds, and a task started elsewhere would run
@@ -470,7 +477,7 @@
         let worker = &self.workers[key];
         let has_left = worker.announcement.stage == WorkerStage::Gone && worker.runs.is_empty();
         if has_left {
-            self.remove_worker(now, key, Departure::Left, out);
+            self.remove_incarnation(now, key, Departure::Left, out);
         }
         has_left
     }
@@ -611,7 +618,10 @@
             }
         };
         let callee = &self.workers[worker].announcement;
-        let key = self.calls.insert(PendingCall { worker, purpose });
+        let key = self.calls.insert(PendingCall {
+            worker: Some(worker),
+            purpose,
+        });
         out.push(Output::Call(Call {
             key,
             worker: callee.id.clone(),
--- a/crates/celerywinch_pool/src/results.rs
+++ b/crates/celerywinch_pool/src/results.rs
@@ -27,11 +27,17 @@
         answer: Answer,
         out: &mut Vec<Output>,
     ) {
-        let sent = self.calls.remove(key);
-        let Some(sent) = sent.filter(|sent| self.workers.contains_key(sent.worker)) else {
+        let Some(sent) = self.calls.remove(key) else {
             return;
         };
+        if sent
+            .worker
+            .is_some_and(|worker| !self.workers.contains_key(worker))
+        {
+            return;
+        }
         match sent.purpose {
+            CallPurpose::Claim(claim) => self.claim_answered(now, claim, &answer, out),
             CallPurpose::Start(run) => self.start_answered(now, run, answer, out),
             CallPurpose::Stop(run) => self.stop_answered(now, run, &answer, out),
             CallPurpose::StopForeign(worker) => {
@@ -75,7 +81,7 @@
             }
             Answer::Rejected(rejection, _) => self.start_rejected(now, key, run, rejection, out),
             Answer::OtherIncarnation => {
-                self.remove_worker(now, run.worker, Departure::OtherIncarnation, out)
+                self.remove_incarnation(now, run.worker, Departure::OtherIncarnation, out)
             }
             Answer::ConnectionRefused => {
                 self.not_started(now, key, out);
@@ -181,7 +187,7 @@
                 self.poll(now, worker, out);
             }
             Answer::OtherIncarnation => {
-                self.remove_worker(now, worker, Departure::OtherIncarnation, out)
+                self.remove_incarnation(now, worker, Departure::OtherIncarnation, out)
             }
             Answer::Rejected(Rejection::StaleFence, _) => {
                 let domain = self.workers[worker].domain;
@@ -232,7 +238,7 @@
             }
             Answer::Rejected(Rejection::StaleFence, _) => out.push(Output::Fenced(worker.domain)),
             Answer::OtherIncarnation => {
-                self.remove_worker(now, key, Departure::OtherIncarnation, out)
+                self.remove_incarnation(now, key, Departure::OtherIncarnation, out)
             }
             Answer::Accepted(_)
             | Answer::Rejected(..)
--- a/crates/celerywinch_pool/src/worker.rs
+++ b/crates/celerywinch_pool/src/worker.rs
@@ -159,8 +159,7 @@
 
     /// Returns whether an answer comes from another incarnation than the known one.
     pub(crate) fn is_other_incarnation(&self, incarnation: Incarnation) -> bool {
-        let known = self.announcement.version.incarnation;
-        known != Incarnation::default() && incarnation != known
+        incarnation != self.announcement.version.incarnation
     }
 
     /// Returns whether the worker is owned, answers, is idle, and has all its ends acknowledged.
