Set aside announcements of services that are not configured

What callers saw: after an announcement with a worker's ID and a service that no configuration names, dispatchers that start later, or are heard again, start nothing on that worker: the keeper tells them of that announcement in place of the worker's own. With the worker's own start and a far sequence number, the worker's notice that it leaves counted as late, and tasks were started on a leaving worker.

Cause: a keeper's directory has one record for an ID, and a later start or number replaced it, whoever had sent it.

A worker whose service leaves the configuration stays known. A notice is acknowledged only if it was recorded or no such worker is known.

--- a/crates/celerywinch_fleet/src/core/keepers.rs
+++ b/crates/celerywinch_fleet/src/core/keepers.rs
@@ -140,17 +140,13 @@
             .directory
             .record_announcement(now, announcement.clone());
         self.metrics.worker_announced(outcome);
-        let broadcast = matches!(
-            outcome,
-            AnnounceOutcome::Changed | AnnounceOutcome::OtherIncarnation(_)
-        );
-        if broadcast {
+        let accepted = self.directory.accepts_notice(&announcement, outcome);
+        if outcome.is_news() {
             self.unsent_workers.push(announcement);
             if stage != WorkerStage::Ready {
                 self.announce_workers(now);
             }
         }
-        let accepted = broadcast || self.directory.is_leaving(&worker);
         match outcome {
             AnnounceOutcome::Changed => self.log_event(&CoreEvent::Announced {
                 worker,
@@ -161,7 +157,9 @@
             AnnounceOutcome::Unchanged => {}
             AnnounceOutcome::Stale(_)
             | AnnounceOutcome::OtherIncarnation(_)
-            | AnnounceOutcome::Left => {
+            | AnnounceOutcome::Left
+            | AnnounceOutcome::Unnamed
+            | AnnounceOutcome::Foreign(_) => {
                 self.log_event(&CoreEvent::NotTaken {
                     worker,
                     version,
--- a/crates/celerywinch_fleet/src/core/work.rs
+++ b/crates/celerywinch_fleet/src/core/work.rs
@@ -136,6 +136,9 @@
                     version: document.version,
                     queues: config.queues.len(),
                 });
+                let services = config.services.iter().map(|service| service.name.clone());
+                let released = self.directory.set_services(now, services.collect());
+                self.unsent_workers.extend(released);
                 self.snapshot.queue_config.store(Some(Arc::new(config)));
                 let version = document.version;
                 self.input(now, Input::ConfigVersion(version));
--- a/crates/celerywinch_fleet/src/metrics.rs
+++ b/crates/celerywinch_fleet/src/metrics.rs
@@ -215,6 +215,8 @@
             AnnounceOutcome::Stale(_) => "late",
             AnnounceOutcome::OtherIncarnation(_) => "other_life",
             AnnounceOutcome::Left => "left",
+            AnnounceOutcome::Unnamed => "unnamed",
+            AnnounceOutcome::Foreign(_) => "foreign",
         };
         self.announced.with_label_values(&[what]).inc();
     }
--- a/crates/celerywinch_fleet/tests/directory.rs
+++ b/crates/celerywinch_fleet/tests/directory.rs
@@ -1,5 +1,6 @@
 //! The workers that a keeper knows, across restarts of workers and keepers.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use celerywinch_fleet::{AnnounceOutcome, WorkerDirectory};
@@ -137,3 +138,138 @@
     directory.record_departure(now, "a", incarnation.map(Incarnation));
     assert_eq!(directory.announcements()[0].stage, stage);
 }
+
+/// The service of the worker "a" whose announcements are its own.
+const SERVICE: &str = "s";
+const UNNAMED_SERVICE: &str = "t";
+
+fn services(names: &[&str]) -> BTreeSet<String> {
+    names.iter().map(|name| (*name).to_owned()).collect()
+}
+
+/// A directory with the third announcement of incarnation 2 of the worker "a".
+fn directory_at(now: Time) -> WorkerDirectory {
+    let mut directory = WorkerDirectory::default();
+    directory.set_services(now, services(&[SERVICE]));
+    directory.record_announcement(now, own(3, WorkerStage::Ready));
+    directory
+}
+
+fn own(sequence: u64, stage: WorkerStage) -> WorkerAnnouncement {
+    WorkerAnnouncement {
+        version: version(2, sequence),
+        ..announcement("a", stage, sequence)
+    }
+}
+
+fn of_unnamed_service(incarnation: u64, sequence: u64) -> WorkerAnnouncement {
+    WorkerAnnouncement {
+        service: UNNAMED_SERVICE.to_owned(),
+        version: version(incarnation, sequence),
+        ..announcement("a", WorkerStage::Ready, sequence)
+    }
+}
+
+fn elsewhere(announcement: WorkerAnnouncement) -> WorkerAnnouncement {
+    WorkerAnnouncement {
+        addr: ([127, 0, 0, 1], 2).into(),
+        ..announcement
+    }
+}
+
+fn leaving(announcement: WorkerAnnouncement) -> WorkerAnnouncement {
+    WorkerAnnouncement {
+        stage: WorkerStage::Draining,
+        ..announcement
+    }
+}
+
+/// Guards against a worker that gets no tasks, as dispatchers that start later are told of another process's announcement in
+/// its place: it has the worker's ID and an unknown service, or states no incarnation. What the worker says next has to count.
+#[rstest]
+#[case::later_incarnation(of_unnamed_service(9, 1))]
+#[case::later_incarnation_elsewhere(elsewhere(of_unnamed_service(9, 1)))]
+#[case::same_incarnation(of_unnamed_service(2, 1 << 40))]
+#[case::same_incarnation_elsewhere(elsewhere(of_unnamed_service(2, 1 << 40)))]
+#[case::leaves(leaving(of_unnamed_service(2, 1 << 40)))]
+#[case::leaves_elsewhere(leaving(elsewhere(of_unnamed_service(9, 1))))]
+#[case::no_incarnation(WorkerAnnouncement { version: version(0, 1 << 40), ..own(3, WorkerStage::Draining) })]
+#[case::same_incarnation_of_its_service_elsewhere(elsewhere(own(1 << 40, WorkerStage::Ready)))]
+fn announcement_of_another_writer_replaces_nothing(#[case] other: WorkerAnnouncement) {
+    let now = Time(10_000_000);
+    let mut directory = directory_at(now);
+    let outcome = directory.record_announcement(now, other.clone());
+    assert!(
+        matches!(
+            outcome,
+            AnnounceOutcome::Unnamed | AnnounceOutcome::Foreign(_)
+        ),
+        "{outcome:?}"
+    );
+    assert_eq!(directory.announcements(), [own(3, WorkerStage::Ready)]);
+    assert!(!directory.accepts_notice(&other, outcome));
+    let notice = own(4, WorkerStage::Draining);
+    let outcome = directory.record_announcement(now, notice.clone());
+    assert_eq!(outcome, AnnounceOutcome::Changed);
+    assert!(directory.accepts_notice(&notice, outcome));
+}
+
+/// Guards against a worker that stays unknown, as somebody else's announcement under its ID arrived first, before any
+/// configuration was known.
+#[rstest]
+#[case::later_incarnation(of_unnamed_service(9, 1 << 40))]
+#[case::same_incarnation(of_unnamed_service(2, 1 << 40))]
+fn configured_service_goes_before_an_unnamed_one(#[case] other: WorkerAnnouncement) {
+    let now = Time(10_000_000);
+    let mut directory = WorkerDirectory::default();
+    directory.record_announcement(now, other);
+    directory.set_services(now, services(&[SERVICE]));
+    let outcome = directory.record_announcement(now, own(3, WorkerStage::Ready));
+    assert_eq!(outcome, AnnounceOutcome::Changed);
+    assert_eq!(directory.announcements(), [own(3, WorkerStage::Ready)]);
+}
+
+/// Guards against a worker without tasks for an interval of announcements: its service comes with a later configuration than its
+/// announcement.
+#[test]
+fn workers_of_a_new_service_are_known_with_the_configuration() {
+    let now = Time(10_000_000);
+    let mut directory = WorkerDirectory::default();
+    directory.set_services(now, services(&["u"]));
+    for sequence in [1, 3, 2] {
+        let outcome = directory.record_announcement(now, own(sequence, WorkerStage::Ready));
+        assert_eq!(outcome, AnnounceOutcome::Unnamed);
+    }
+    assert!(directory.is_empty());
+    let now = now + Duration::from_secs(1);
+    let released = directory.set_services(now, services(&["u", SERVICE]));
+    assert_eq!(released, [own(3, WorkerStage::Ready)]);
+    assert_eq!(directory.announcements(), released);
+    assert!(directory.set_services(now, services(&["u"])).is_empty());
+}
+
+/// Guards against a leaving worker that gets tasks: its service left with a configuration, and its own announcements still
+/// count, as its runs go on.
+#[test]
+fn worker_stays_known_without_its_service() {
+    let now = Time(10_000_000);
+    let mut directory = directory_at(now);
+    directory.set_services(now, services(&["u"]));
+    let notice = own(4, WorkerStage::Draining);
+    let outcome = directory.record_announcement(now, notice.clone());
+    assert_eq!(outcome, AnnounceOutcome::Changed);
+    assert_eq!(directory.announcements(), [notice]);
+}
+
+/// Guards against a list that grows without limit by announcements of services that are never configured.
+#[test]
+fn announcements_of_unnamed_services_expire() {
+    let now = Time(10_000_000);
+    let mut directory = directory_at(now);
+    directory.record_announcement(now, of_unnamed_service(9, 1));
+    let later = now + Duration::from_secs(30);
+    directory.record_announcement(later, own(4, WorkerStage::Ready));
+    directory.remove_expired(later);
+    let released = directory.set_services(later, services(&[SERVICE, UNNAMED_SERVICE]));
+    assert!(released.is_empty());
+}
--- a/crates/celerywinch_pool/src/claims.rs
+++ b/crates/celerywinch_pool/src/claims.rs
@@ -74,8 +74,7 @@
     /// Returns the claim of the incarnation of an announcement.
     fn find(&self, announcement: &WorkerAnnouncement) -> Option<ClaimKey> {
         let mut claims = self.of(&announcement.id);
-        let found =
-            claims.find(|(_, claim)| is_same_incarnation(&claim.announcement, announcement));
+        let found = claims.find(|(_, claim)| claim.announcement.is_same_incarnation(announcement));
         found.map(|(key, _)| key)
     }
 
@@ -85,15 +84,6 @@
     }
 }
 
-/// Returns whether two announcements are of the same incarnation of a worker, as far as they tell: its service, address and
-/// data centre do not change.
-pub(crate) fn is_same_incarnation(a: &WorkerAnnouncement, b: &WorkerAnnouncement) -> bool {
-    a.version.incarnation == b.version.incarnation
-        && a.service == b.service
-        && a.addr == b.addr
-        && a.dc == b.dc
-}
-
 impl Pool {
     /// Handles the announcement of an incarnation at another address than the known one.
     pub(crate) fn record_claim(
--- a/crates/celerywinch_pool/src/pool.rs
+++ b/crates/celerywinch_pool/src/pool.rs
@@ -13,7 +13,7 @@
 
 use crate::answer_times::AnswerTimes;
 use crate::call::{Answer, Call, CallKey, CallPurpose, PendingCall, PollKind, Request};
-use crate::claims::{Claims, is_same_incarnation};
+use crate::claims::Claims;
 use crate::crashes::CrashHistory;
 use crate::grants::{Grant, Grants};
 use crate::inflow::Inflow;
@@ -417,7 +417,7 @@
             _ if announcement.dc != known.dc => {}
             Ordering::Less => self.earlier_incarnation_announced(key, announcement, out),
             Ordering::Greater => self.replace_worker(now, key, announcement, out),
-            Ordering::Equal if !is_same_incarnation(known, &announcement) => {}
+            Ordering::Equal if !known.is_same_incarnation(&announcement) => {}
             // A delayed announcement must not restore an earlier state.
             Ordering::Equal if announcement.version <= known.version => {}
             Ordering::Equal => self.workers[key].announcement = announcement,
--- a/crates/celerywinch_types/src/work.rs
+++ b/crates/celerywinch_types/src/work.rs
@@ -122,6 +122,19 @@
     }
 }
 
+impl WorkerAnnouncement {
+    /// Returns whether two announcements are of the same incarnation of a worker, as far as they tell: its service, address and
+    /// data centre do not change.
+    #[must_use]
+    pub fn is_same_incarnation(&self, other: &Self) -> bool {
+        self.id == other.id
+            && self.version.incarnation == other.version.incarnation
+            && self.service == other.service
+            && self.addr == other.addr
+            && self.dc == other.dc
+    }
+}
+
 impl Resources {
     /// Whether `need` fits into these resources.
     #[must_use]
