Decide who votes among the keepers before a loss, and soon after one

Cause: a learner replaced a voter only after 5 s of silence, and a keeper that stopped as planned kept its vote. The sheet lets the next loss begin at the moment of a removal whose successor has had catchUpS, so two of three voters were away, one of them for good.

Change: raft/voters.rs decides, from what the leader knows. 2 f + 3 keepers vote where there are so many; else a keeper that joins takes the vote of one of its data centre once it has the log; a keeper that stops says so, passes the leadership on and waits for 1.5 s at most; a silent voter is replaced after 600 ms. Learners are promoted first; memberships differ by one vote (asserted in release builds).

--- a/crates/celerywinch_domains/src/peers.rs
+++ b/crates/celerywinch_domains/src/peers.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use celerywinch_types::{FleetHeartbeat, InstanceId, Process, ProcessKind, Stage, Time};
+use celerywinch_types::{
+    DataCentreId, FleetHeartbeat, InstanceId, Process, ProcessKind, Stage, Time,
+};
 
 /// A silent process is removed after this time, or after twice its timeout if that is longer: among 1,000 processes most
 /// hear each other once in 50 s. A short partition heals within this time.
@@ -163,10 +165,10 @@
     }
 
     /// Returns the keepers, alive or not.
-    pub fn keepers(&self) -> impl Iterator<Item = InstanceId> + '_ {
+    pub fn keepers(&self) -> impl Iterator<Item = (InstanceId, DataCentreId)> + '_ {
         let keepers = self.all();
         keepers
             .filter(|(_, view)| view.heartbeat.kind == ProcessKind::Keeper)
-            .map(|(id, _)| id)
+            .map(|(id, view)| (id, view.heartbeat.dc))
     }
 }
--- a/crates/celerywinch_fleet/src/core.rs
+++ b/crates/celerywinch_fleet/src/core.rs
@@ -4,7 +4,7 @@
 mod members;
 mod work;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -16,8 +16,9 @@
 use celerywinch_origin::{CallerId, NewJob};
 use celerywinch_pool::{Answer, CallKey, PoolConfig};
 use celerywinch_types::{
-    AnnouncementVersion, EvacuationOrder, Evacuations, FleetMsg, Incarnation, InstanceId, JobEnd,
-    KeeperRequest, KeeperState, Process, ProcessKind, Time, WorkerAnnouncement, WorkerStage,
+    AnnouncementVersion, DataCentreId, EvacuationOrder, Evacuations, FleetMsg, Incarnation,
+    InstanceId, JobEnd, KeeperRequest, KeeperState, Process, ProcessKind, Time, WorkerAnnouncement,
+    WorkerStage,
 };
 use crossbeam_channel::Sender;
 use serde::Serialize;
@@ -135,6 +136,7 @@
         role: String,
         term: u64,
         voters: usize,
+        voting: Vec<InstanceId>,
         learners: usize,
         version: u64,
     },
@@ -189,7 +191,8 @@
     store: Option<Sender<StoreInput>>,
     keeper_requests: HashMap<u64, (RequestKind, oneshot::Sender<Option<KeeperState>>)>,
     next_request: u64,
-    contacts: BTreeSet<InstanceId>,
+    /// The known keepers and their data centres.
+    contacts: BTreeMap<InstanceId, DataCentreId>,
 }
 
 /// The arguments of [`Core::new`].
@@ -313,7 +316,7 @@
             unsent_workers: Vec::new(),
             keeper_requests: HashMap::new(),
             next_request: rand::random::<u32>().into(),
-            contacts: BTreeSet::new(),
+            contacts: BTreeMap::new(),
             config,
             me,
             clock,
@@ -482,6 +485,7 @@
             jobs: self.member.open_jobs(),
         });
         self.input(now, Input::Stop);
+        self.to_store(StoreInput::Leave);
     }
 
     fn log_event(&mut self, event: &CoreEvent) {
--- a/crates/celerywinch_fleet/src/core/keepers.rs
+++ b/crates/celerywinch_fleet/src/core/keepers.rs
@@ -1,5 +1,7 @@
 //! Requests to the keepers, distribution of the configuration, and announcements of workers.
 
+use std::sync::atomic::Ordering;
+
 use celerywinch_member::Input;
 use celerywinch_registry::Request;
 use celerywinch_types::{
@@ -35,10 +37,12 @@
                     self.handle_announcement(now, announcement);
                 }
             }
+            StoreOutput::MayEnd => self.snapshot.store_left.store(true, Ordering::Release),
             StoreOutput::Role(status) => self.log_event(&CoreEvent::Keeper {
                 role: format!("{:?}", status.role),
                 term: status.term,
                 voters: status.voters,
+                voting: status.voting,
                 learners: status.learners,
                 version: status.version,
             }),
--- a/crates/celerywinch_fleet/src/core/members.rs
+++ b/crates/celerywinch_fleet/src/core/members.rs
@@ -1,6 +1,6 @@
 //! Links to other processes, and what is sent when one opens.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
@@ -100,13 +100,12 @@
         }
     }
 
-    /// Passes the known keepers to the log, which searches for its group at all of them.
+    /// Passes the known keepers and their data centres to the log, which searches for its group at all of them.
     fn update_keepers(&mut self) {
-        let keepers: BTreeSet<_> = self.member.peers().keepers().collect();
+        let keepers: BTreeMap<_, _> = self.member.peers().keepers().collect();
         if keepers != self.contacts {
             self.contacts = keepers;
-            let contacts = self.contacts.iter().copied().collect();
-            self.to_store(StoreInput::Contacts(contacts));
+            self.to_store(StoreInput::Contacts(self.contacts.clone()));
         }
     }
 
--- a/crates/celerywinch_fleet/src/handle.rs
+++ b/crates/celerywinch_fleet/src/handle.rs
@@ -25,6 +25,8 @@
     pub(crate) ready: AtomicBool,
     pub(crate) stop_schedule: OnceLock<StopSchedule>,
     pub(crate) open_jobs: AtomicU64,
+    /// Whether the group of keepers no longer needs this one, which stops as planned.
+    pub(crate) store_left: AtomicBool,
 }
 
 /// The schedule of a planned stop.
@@ -127,6 +129,12 @@
         self.snapshot.open_jobs.load(Ordering::Acquire)
     }
 
+    /// Returns whether a keeper that stops as planned may end: another one has taken its vote, or none can.
+    #[must_use]
+    pub fn may_end(&self) -> bool {
+        self.snapshot.store_left.load(Ordering::Acquire)
+    }
+
     /// Submits a job.
     #[must_use]
     pub fn submit(&self, job: NewJob) -> JobHandle {
--- a/crates/celerywinch_fleet/src/store.rs
+++ b/crates/celerywinch_fleet/src/store.rs
@@ -3,6 +3,7 @@
 
 mod writer;
 
+use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::thread;
 use std::time::Duration;
@@ -11,7 +12,8 @@
 use celerywinch_registry::{Registry, RegistryOutput, RegistryStatus, Request, VersionedDocument};
 use celerywinch_store::{Disk, Input, KeeperId, Output, RaftConfig, Record, load_file};
 use celerywinch_types::{
-    Evacuations, FleetMsg, InstanceId, KeeperMsg, KeeperState, Time, WorkerAnnouncement,
+    DataCentreId, Evacuations, FleetMsg, InstanceId, KeeperMsg, KeeperState, Time,
+    WorkerAnnouncement,
 };
 use crossbeam_channel::{Receiver, Sender, never, select, unbounded};
 use tokio::sync::mpsc::UnboundedSender;
@@ -41,7 +43,10 @@
 pub(crate) enum StoreInput {
     Log(InstanceId, Vec<u8>),
     Request(Request),
-    Contacts(Vec<InstanceId>),
+    /// The known keepers and their data centres.
+    Contacts(BTreeMap<InstanceId, DataCentreId>),
+    /// The process stops as planned.
+    Leave,
     /// The known workers, to be stored for the next start.
     Workers(Vec<WorkerAnnouncement>),
 }
@@ -56,10 +61,13 @@
     Role(RegistryStatus),
     /// The workers that were known before the restart.
     Workers(Vec<WorkerAnnouncement>),
+    /// The process may end without a loss to the group of keepers.
+    MayEnd,
 }
 
 struct Store {
     me: InstanceId,
+    dc: DataCentreId,
     seeds: Vec<InstanceId>,
     bootstrap: bool,
     voters: usize,
@@ -70,7 +78,11 @@
     /// Results of writes to the open disk.
     results: Receiver<WriteResult>,
     reopen_at: Time,
-    contacts: Vec<InstanceId>,
+    /// The known keepers and their data centres, with this one.
+    contacts: BTreeMap<InstanceId, DataCentreId>,
+    is_leaving: bool,
+    /// The instances that were last reported to vote.
+    voting: Vec<InstanceId>,
 }
 
 /// Starts the thread.
@@ -82,6 +94,7 @@
     let folder = config.data_dir.clone();
     let mut store = Store {
         me: config.instance,
+        dc: config.dc,
         seeds: config.seeds.clone(),
         bootstrap: config.bootstrap,
         voters: config.fault_tolerance * 2 + 1,
@@ -91,7 +104,9 @@
         open: None,
         results: never(),
         reopen_at: Time::NEVER,
-        contacts: Vec::new(),
+        contacts: BTreeMap::from([(config.instance, config.dc)]),
+        is_leaving: false,
+        voting: Vec::new(),
     };
     store.load_workers();
     store.open()?;
@@ -129,6 +144,9 @@
         let now = self.clock.now();
         let mut registry = Registry::new(config, now, loaded)?;
         registry.set_contacts(self.contacts.clone());
+        if self.is_leaving {
+            registry.handle(now, Input::Leave, &mut Vec::new());
+        }
         if registry.evacuations().revision > 0 {
             self.notify_core(StoreOutput::EvacuationsChanged(
                 registry.evacuations().clone(),
@@ -179,6 +197,17 @@
             }
         }
         self.update_registry(now, |registry, out| registry.handle(now, Input::Tick, out));
+        let registry = self.open.as_ref().map(|(registry, _)| registry);
+        if let Some(status) = registry.map(Registry::status)
+            && status.voting != self.voting
+        {
+            self.voting = status.voting.clone();
+            self.notify_core(StoreOutput::Role(status));
+        }
+        let registry = self.open.as_ref().map(|(registry, _)| registry);
+        if self.is_leaving && registry.is_none_or(Registry::may_leave) {
+            self.notify_core(StoreOutput::MayEnd);
+        }
     }
 
     fn handle(&mut self, msg: StoreInput) {
@@ -201,11 +230,16 @@
                 }
             }
             StoreInput::Contacts(contacts) => {
-                self.contacts = contacts.clone();
+                self.contacts = contacts;
+                self.contacts.insert(self.me, self.dc);
                 if let Some((registry, _)) = &mut self.open {
-                    registry.set_contacts(contacts);
+                    registry.set_contacts(self.contacts.clone());
                 }
             }
+            StoreInput::Leave => {
+                self.is_leaving = true;
+                self.update_registry(now, |registry, out| registry.handle(now, Input::Leave, out));
+            }
         }
     }
 
--- a/crates/celerywinch_registry/src/registry.rs
+++ b/crates/celerywinch_registry/src/registry.rs
@@ -10,7 +10,8 @@
     Snapshot,
 };
 use celerywinch_types::{
-    EvacuationOrder, Evacuations, InstanceId, KeeperRequest, KeeperState, Time, domain,
+    DataCentreId, EvacuationOrder, Evacuations, InstanceId, KeeperRequest, KeeperState, Time,
+    domain,
 };
 
 domain! {
@@ -68,6 +69,8 @@
     pub commit: u64,
     /// The number of keepers that count for majorities.
     pub voters: usize,
+    /// The instances of these keepers.
+    pub voting: Vec<InstanceId>,
     /// The number of keepers that are still learning the log.
     pub learners: usize,
     /// The version of the stored document.
@@ -142,8 +145,15 @@
     }
 
     /// Sets other instances at which the group may be found.
-    pub fn set_contacts(&mut self, contacts: Vec<InstanceId>) {
-        self.raft.set_contacts(contacts);
+    pub fn set_contacts(&mut self, contacts: BTreeMap<InstanceId, DataCentreId>) {
+        self.raft.set_contacts(contacts.keys().copied().collect());
+        self.raft.set_data_centres(contacts);
+    }
+
+    /// Returns whether a keeper that stops as planned can end without a loss to the group.
+    #[must_use]
+    pub fn may_leave(&self) -> bool {
+        self.raft.may_leave()
     }
 
     /// Returns the status of this keeper, for operators and logs.
@@ -155,6 +165,7 @@
             role: self.raft.role(),
             commit: self.raft.commit_index(),
             voters: membership.voters.len(),
+            voting: membership.voters.iter().map(|v| v.instance).collect(),
             learners: membership.learners.len(),
             version: self.document.version,
         }
--- a/crates/celerywinch_store/src/message.rs
+++ b/crates/celerywinch_store/src/message.rs
@@ -86,6 +86,15 @@
             /// The round that is confirmed.
             round: u64,
         },
+        /// Sent to the leader by a keeper that stops as planned.
+        Leave,
+        /// Sent by a leader that resigns.
+        Resign {
+            /// Its term.
+            term: u64,
+            /// The voter that starts an election at once.
+            successor: KeeperId,
+        },
     }
 
     /// A message with its sender and receiver.
--- a/crates/celerywinch_store/src/raft/append.rs
+++ b/crates/celerywinch_store/src/raft/append.rs
@@ -40,6 +40,7 @@
             self.confirm_leadership(out);
         }
         self.update_membership(now, out);
+        self.resign_if_due(now, out);
     }
 
     fn has_quorum_contact(&self, now: Time) -> bool {
@@ -149,6 +150,7 @@
         self.observe_term(now, term, Some(from), out);
         self.set_role(now, Role::Follower(Some(from)), out);
         self.last_contact = now;
+        self.former_leader = Some((from, now));
         true
     }
 
--- a/crates/celerywinch_store/src/raft/election.rs
+++ b/crates/celerywinch_store/src/raft/election.rs
@@ -140,7 +140,7 @@
         counted.count() >= membership.majority()
     }
 
-    fn start_election(&mut self, now: Time, out: &mut Vec<Output>) {
+    pub(super) fn start_election(&mut self, now: Time, out: &mut Vec<Output>) {
         // The vote is synced before any voter is asked, as this keeper must not vote for another one after a restart.
         self.enter_term(now, self.term + 1, Some(self.config.me), out);
         self.set_role(now, Role::Candidate, out);
@@ -238,6 +238,12 @@
             .into_iter()
             .map(|keeper| (keeper, progress))
             .collect();
+        // It was silent before this keeper became leader, and counts as lost soon.
+        if let Some((leader, last_contact)) = self.former_leader
+            && let Some(progress) = self.progress.get_mut(&leader)
+        {
+            progress.last_contact = last_contact;
+        }
         // Entries of earlier terms are committed only together with an entry of this term.
         self.propose(now, Payload::Noop, out);
     }
--- a/crates/celerywinch_store/src/raft/membership.rs
+++ b/crates/celerywinch_store/src/raft/membership.rs
@@ -4,16 +4,16 @@
 
 use celerywinch_types::{InstanceId, Time};
 
-use super::{Output, Raft, Role};
+use super::voters::{Change, Group, Member};
+use super::{Output, Progress, Raft, Role};
 use crate::{Entry, KeeperId, Membership, Payload, RaftMsg};
 
 /// The number of hellos after which a keeper is taken to have an empty disk.
 const MIN_HELLOS: u32 = 3;
 /// How long a hello, a request to rejoin or other contact counts as recent.
 const CONTACT_TIMEOUT: Duration = Duration::from_secs(2);
-/// How long a voter must be silent before a learner that has the whole log replaces it. Longer than a restart takes, so
-/// that a voter that comes back with its disk is still a voter.
-const REPLACE_AFTER: Duration = Duration::from_secs(5);
+/// How long a learner may be silent before it is removed. It asks to rejoin when it is back.
+const LEARNER_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// A keeper with an empty disk that has sent hellos.
 #[derive(Clone, Copy, Debug)]
@@ -148,17 +148,35 @@
             return;
         }
         let membership = self.log.membership();
-        if let Some(next) = self.next_membership(now, &membership) {
+        let next = self.next_membership(now, &membership);
+        if let Some(next) = next.filter(|next| self.has_answering_majority(now, next)) {
+            let changed = next
+                .voters
+                .iter()
+                .filter(|v| !membership.voters.contains(v));
+            let dropped = membership
+                .voters
+                .iter()
+                .filter(|v| !next.voters.contains(v));
+            // Majorities of two memberships that differ by more than one voter may have no voter in common.
+            assert!(changed.count() + dropped.count() <= 1, "{next:?}");
             self.propose(now, Payload::Membership(next), out);
         }
     }
 
+    /// Returns whether a membership could commit entries at present.
+    fn has_answering_majority(&self, now: Time, membership: &Membership) -> bool {
+        let group = self.group(now, membership);
+        let answering = group.voters.iter().filter(|voter| group.answers(voter));
+        answering.count() >= membership.majority()
+    }
+
     /// Returns whether no entry of the current term is committed yet; before that a leader must not change the membership.
     fn lacks_commit_in_term(&self) -> bool {
         self.log.term(self.commit_index) != Some(self.term)
     }
 
-    fn next_membership(&self, now: Time, membership: &Membership) -> Option<Membership> {
+    fn next_membership(&mut self, now: Time, membership: &Membership) -> Option<Membership> {
         for blank in self.active_blanks(now) {
             if membership.all().any(|keeper| keeper == blank) {
                 continue;
@@ -167,23 +185,138 @@
             if let Some(old) = membership.keeper_of(blank.instance) {
                 next.voters.retain(|keeper| *keeper != old);
                 next.learners.retain(|keeper| *keeper != old);
+                self.returned.insert(blank.instance);
                 return (!next.voters.is_empty()).then_some(next);
             }
+            if !self.returned.contains(&blank.instance) {
+                let order = self.admitted.len() as u64;
+                self.admitted.entry(blank).or_insert(order);
+            }
             next.learners.push(blank);
             return Some(next);
         }
         if let Some(next) = self.readmit_learner(now, membership) {
             return Some(next);
         }
-        if membership.voters.len() > self.config.max_voters {
-            return self.remove_extra_voter(now, membership);
+        let group = self.group(now, membership);
+        let mut next = membership.clone();
+        match group.next_change() {
+            Some(Change::Promote(keeper)) => {
+                next.learners.retain(|learner| *learner != keeper);
+                next.voters.push(keeper);
+                next.voters.sort_unstable();
+            }
+            Some(Change::Demote(keeper)) => {
+                next.voters.retain(|voter| *voter != keeper);
+                next.learners.push(keeper);
+            }
+            Some(Change::Remove(keeper)) => next.voters.retain(|voter| *voter != keeper),
+            None => {
+                let lost = group.learners.iter();
+                let lost = lost.max_by_key(|learner| learner.silence)?;
+                if lost.silence <= LEARNER_TIMEOUT {
+                    return None;
+                }
+                next.learners.retain(|learner| *learner != lost.keeper);
+            }
         }
-        if membership.voters.len() == self.config.max_voters
-            && self.lost_voter(now, membership).is_none()
-        {
-            return None;
+        Some(next)
+    }
+
+    /// Describes a membership as this leader knows its keepers.
+    fn group(&self, now: Time, membership: &Membership) -> Group {
+        let member = |keeper: &KeeperId, is_voter: bool| {
+            let is_me = *keeper == self.config.me;
+            let progress = self.progress.get(keeper);
+            let last_contact = progress.map_or(Time::default(), |p| p.last_contact);
+            let matched = progress.map_or(0, |p| p.match_index);
+            let leaving = self.leaving.get(keeper);
+            Member {
+                keeper: *keeper,
+                dc: self.data_centres.get(&keeper.instance).copied(),
+                silence: if is_me {
+                    Duration::ZERO
+                } else {
+                    now.since(last_contact)
+                },
+                has_log: is_voter || matched > 0,
+                caught_up: is_voter || matched >= self.commit_index,
+                leaving: if is_me {
+                    self.is_leaving
+                } else {
+                    leaving.is_some_and(|at| now.since(*at) <= CONTACT_TIMEOUT)
+                },
+                admitted: self.admitted.get(keeper).copied(),
+            }
+        };
+        let voters = membership.voters.iter().map(|keeper| member(keeper, true));
+        let learners = membership
+            .learners
+            .iter()
+            .map(|keeper| member(keeper, false));
+        Group {
+            leader: self.config.me,
+            voters: voters.collect(),
+            learners: learners.collect(),
+            max_voters: self.config.max_voters,
+            max_silence: self.config.election_timeout * 3 / 2,
+        }
+    }
+
+    /// Tells the leader that this keeper stops as planned, so that a learner takes its place before it ends.
+    pub(super) fn announce_leave(&mut self, now: Time, out: &mut Vec<Output>) {
+        let Role::Follower(Some(leader)) = self.role else {
+            return;
+        };
+        if now.since(self.last_sent) >= self.config.heartbeat_interval {
+            self.last_sent = now;
+            self.send(leader, RaftMsg::Leave, out);
+        }
+    }
+
+    /// Passes the leadership on if this keeper does not vote any more, or stops as planned and no learner can take its place.
+    pub(super) fn resign_if_due(&mut self, now: Time, out: &mut Vec<Output>) {
+        if self.commit_index < self.log.last_index() || self.lacks_commit_in_term() {
+            return;
+        }
+        let membership = self.log.membership();
+        let group = self.group(now, &membership);
+        let is_due = !self.is_voter() || (self.is_leaving && group.next_change().is_none());
+        if !is_due {
+            return;
+        }
+        let last = self.log.last_index();
+        let has_log = |voter: &&Member| {
+            let progress: Option<&Progress> = self.progress.get(&voter.keeper);
+            progress.is_some_and(|p| p.match_index >= last)
+        };
+        let voters = group.voters.iter().filter(|v| v.keeper != self.config.me);
+        let sound = voters.filter(|v| group.answers(v) && !v.leaving);
+        let successor = sound.filter(has_log).min_by_key(|voter| voter.silence);
+        if let Some(successor) = successor.map(|voter| voter.keeper) {
+            let term = self.term;
+            self.send_to_voters(&RaftMsg::Resign { term, successor }, out);
+            self.set_role(now, Role::Follower(None), out);
+        }
+    }
+
+    /// Handles the resignation of the leader. Its successor starts an election at once, and the others vote in it although
+    /// they had contact with a leader just before.
+    pub(super) fn handle_resign(
+        &mut self,
+        now: Time,
+        from: KeeperId,
+        resignation: (u64, KeeperId),
+        out: &mut Vec<Output>,
+    ) {
+        let (term, successor) = resignation;
+        if term != self.term || self.role != Role::Follower(Some(from)) {
+            return;
+        }
+        self.set_role(now, Role::Follower(None), out);
+        if successor == self.config.me && self.is_voter() {
+            self.start_election(now, out);
         }
-        self.promote_learner(now, membership)
     }
 
     /// Adds as a learner a keeper that has a log but is no longer a member and asks to rejoin.
@@ -196,41 +329,4 @@
         next.learners.push(*keeper);
         Some(next)
     }
-
-    fn promote_learner(&self, now: Time, membership: &Membership) -> Option<Membership> {
-        let caught_up = membership.learners.iter().find(|learner| {
-            let progress = self.progress.get(learner);
-            let has_contact = |p: &super::Progress| now.since(p.last_contact) <= CONTACT_TIMEOUT;
-            progress.is_some_and(|p| p.match_index >= self.commit_index && has_contact(p))
-        })?;
-        let mut next = membership.clone();
-        next.learners.retain(|keeper| keeper != caught_up);
-        next.voters.push(*caught_up);
-        next.voters.sort_unstable();
-        Some(next)
-    }
-
-    /// Returns the voter with the oldest contact, if that is more than [`REPLACE_AFTER`] ago.
-    fn lost_voter(&self, now: Time, membership: &Membership) -> Option<KeeperId> {
-        let me = self.config.me;
-        let others = membership.voters.iter().filter(|voter| **voter != me);
-        let last_contact = |voter: &&KeeperId| self.progress.get(voter).map(|p| p.last_contact);
-        let lost = others.min_by_key(last_contact)?;
-        let silent = now.since(last_contact(&lost).unwrap_or_default());
-        (silent > REPLACE_AFTER).then_some(*lost)
-    }
-
-    /// Removes the voter with the oldest contact, which another one has replaced. If it is back, it becomes a learner.
-    fn remove_extra_voter(&self, now: Time, membership: &Membership) -> Option<Membership> {
-        let me = self.config.me;
-        let last_contact = |voter: &&KeeperId| self.progress.get(voter).map(|p| p.last_contact);
-        let others = membership.voters.iter().filter(|voter| **voter != me);
-        let oldest = others.min_by_key(last_contact)?;
-        let mut next = membership.clone();
-        next.voters.retain(|voter| voter != oldest);
-        if self.lost_voter(now, membership).is_none() {
-            next.learners.push(*oldest);
-        }
-        Some(next)
-    }
 }
--- a/crates/celerywinch_store/src/raft/mod.rs
+++ b/crates/celerywinch_store/src/raft/mod.rs
@@ -4,12 +4,13 @@
 mod election;
 mod membership;
 mod read;
+mod voters;
 mod write;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-use celerywinch_types::{InstanceId, Time};
+use celerywinch_types::{DataCentreId, InstanceId, Time};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -25,7 +26,8 @@
     pub instances: Vec<InstanceId>,
     /// Whether this keeper may form the first group; false for one that joins an existing group.
     pub bootstrap: bool,
-    /// The maximum number of voters. Further keepers are learners, and replace voters that are lost.
+    /// The number of voters that bears the losses of the settings. Further keepers are learners, and replace voters that are lost;
+    /// two more vote if there are enough keepers.
     pub max_voters: usize,
     /// The interval between two heartbeats of the leader.
     pub heartbeat_interval: Duration,
@@ -58,6 +60,8 @@
         /// The encoded state.
         state: Vec<u8>,
     },
+    /// This keeper stops as planned. It serves on until the host stops it.
+    Leave,
     /// Time has passed.
     Tick,
 }
@@ -158,6 +162,18 @@
     blanks: BTreeMap<InstanceId, membership::BlankKeeper>,
     /// Keepers that have a log but no leader, and when they last asked to rejoin.
     rejoining: BTreeMap<KeeperId, Time>,
+    /// Keepers that stop as planned, and when they last said so.
+    leaving: BTreeMap<KeeperId, Time>,
+    /// Whether this keeper stops as planned.
+    is_leaving: bool,
+    /// The keepers that this one has admitted as leader, in order, except instances that had lost their disks.
+    admitted: BTreeMap<KeeperId, u64>,
+    /// Instances whose keepers this one has removed as leader, because they came back with empty disks.
+    returned: BTreeSet<InstanceId>,
+    /// The last leader of another keeper, and the last contact with it.
+    former_leader: Option<(KeeperId, Time)>,
+    /// The data centres of the known instances.
+    data_centres: BTreeMap<InstanceId, DataCentreId>,
     /// Instances at which to look for the group, in addition to those of the settings.
     contacts: Vec<InstanceId>,
     /// Whether a snapshot was requested from the host and not yet provided.
@@ -209,6 +225,12 @@
             progress: BTreeMap::new(),
             blanks: BTreeMap::new(),
             rejoining: BTreeMap::new(),
+            leaving: BTreeMap::new(),
+            is_leaving: false,
+            admitted: BTreeMap::new(),
+            returned: BTreeSet::new(),
+            former_leader: None,
+            data_centres: BTreeMap::new(),
             contacts: Vec::new(),
             snapshot_pending: false,
             reads: read::ReadQueue::default(),
@@ -227,6 +249,7 @@
             Input::Read(id) => self.read(id, out),
             Input::Synced(count) => self.handle_synced(now, count, out),
             Input::SnapshotState { index, state } => self.compact(now, index, state, out),
+            Input::Leave => self.is_leaving = true,
             Input::Tick => self.tick(now, out),
         }
     }
@@ -243,6 +266,9 @@
         for progress in self.progress.values_mut() {
             progress.last_contact = progress.last_contact + pause;
         }
+        if let Some((_, last_contact)) = &mut self.former_leader {
+            *last_contact = *last_contact + pause;
+        }
     }
 
     /// Sets the instances at which to look for the group, in addition to those of the settings. May be called at any time.
@@ -250,6 +276,23 @@
         self.contacts = contacts;
     }
 
+    /// Sets the data centres of the known instances. May be called at any time.
+    pub fn set_data_centres(&mut self, data_centres: BTreeMap<InstanceId, DataCentreId>) {
+        self.data_centres = data_centres;
+    }
+
+    /// Returns whether this keeper can end without a loss to the group: it does not vote, or no other keeper could take its
+    /// place.
+    #[must_use]
+    pub fn may_leave(&self) -> bool {
+        let membership = self.log.membership();
+        let is_committed = self.log.membership_index() <= self.commit_index;
+        let is_changing = !is_committed || membership.voters.len() > self.config.max_voters;
+        let has_left = !self.is_voter() && is_committed;
+        let is_irreplaceable = membership.learners.is_empty() && !is_changing;
+        self.role != Role::Leader && (has_left || is_irreplaceable)
+    }
+
     /// Returns the current role of this keeper.
     #[must_use]
     pub fn role(&self) -> Role {
@@ -334,6 +377,12 @@
             RaftMsg::Rejoin => {
                 self.rejoining.insert(from, now);
             }
+            RaftMsg::Leave => {
+                self.leaving.insert(from, now);
+            }
+            RaftMsg::Resign { term, successor } => {
+                self.handle_resign(now, from, (term, successor), out);
+            }
         }
     }
 
@@ -342,6 +391,9 @@
             Role::Blank => self.discover_group(now, out),
             Role::Leader => self.tick_leader(now, out),
             Role::Follower(_) | Role::PreCandidate | Role::Candidate => {
+                if self.is_leaving {
+                    self.announce_leave(now, out);
+                }
                 self.check_election_timeout(now, out);
             }
         }
