Spread the voters of the keepers over the data centres

Cause: the voters were the keepers of the settings, by address all of the first data centre, and those that caught up first. The group didn't know where a keeper is.

Change: a learner in a data centre with two voters less than another one is promoted, and a voter of that one demoted.

Why it works: no data centre then has a majority where there are three or more with learners, and the loss of one leaves a majority of the voters.

--- a/crates/celerywinch_store/src/raft/voters.rs
+++ b/crates/celerywinch_store/src/raft/voters.rs
@@ -6,6 +6,7 @@
 //! - With enough keepers, [`SPARE_VOTERS`] more vote than the losses need, so that the removal of any of them is borne as well.
 //! - Else a keeper that joins with an empty disk takes the place of one of its data centre: it may be its successor.
 //! - A keeper that stops as planned, or does not answer, is replaced at once.
+//! - The voters are spread over the data centres, so that none of these has a majority.
 //!
 //! A learner is promoted before a voter is removed, and each change is committed before the next one.
 
@@ -70,7 +71,7 @@
         }
         let wanted = self.wanted_voters();
         if self.voters.len() > wanted {
-            return None;
+            return self.demote_crowded();
         }
         let staying: Vec<_> = self.voters.iter().filter(|v| self.stays(v)).collect();
         let is_retiring = |member: &Member| retiring.contains(&member.keeper);
@@ -91,10 +92,43 @@
         let promoted = lacking.min_by_key(|learner| {
             let same_dc = staying.iter().filter(|voter| voter.dc == learner.dc);
             (is_retiring(learner), same_dc.count(), learner.keeper)
-        })?;
+        });
+        let promoted = promoted.or_else(|| self.spreading_learner(&retiring))?;
         Some(Change::Promote(promoted.keeper))
     }
 
+    /// Returns the number of voters in each data centre, or none if one is not known.
+    fn voters_by_dc(&self) -> Option<BTreeMap<DataCentreId, usize>> {
+        let mut counts = BTreeMap::new();
+        for voter in &self.voters {
+            *counts.entry(voter.dc?).or_default() += 1;
+        }
+        Some(counts)
+    }
+
+    /// Returns a learner in a data centre that has at least two voters less than another one. Its loss, and that of the other
+    /// one, are borne if the voters are spread evenly.
+    fn spreading_learner(&self, retiring: &BTreeSet<KeeperId>) -> Option<&Member> {
+        let counts = self.voters_by_dc()?;
+        let most = counts.values().copied().max()?;
+        let usable = self.learners.iter().filter(|learner| {
+            learner.caught_up && self.stays(learner) && !retiring.contains(&learner.keeper)
+        });
+        let in_dc = |dc: Option<DataCentreId>| Some(counts.get(&dc?).copied().unwrap_or(0));
+        let sparse = usable.filter(|l| in_dc(l.dc).is_some_and(|count| count + 2 <= most));
+        sparse.min_by_key(|learner| (in_dc(learner.dc), learner.keeper))
+    }
+
+    /// Demotes one of more voters than are wanted, in the data centre that has the most of them, unless each has one.
+    fn demote_crowded(&self) -> Option<Change> {
+        let counts = self.voters_by_dc()?;
+        let most = counts.values().copied().max().filter(|most| *most > 1)?;
+        let in_crowded = |voter: &&Member| voter.dc.is_some_and(|dc| counts[&dc] == most);
+        let crowded = self.voters.iter().filter(in_crowded);
+        let demoted = crowded.max_by_key(|voter| (voter.keeper != self.leader, voter.keeper))?;
+        Some(Change::Demote(demoted.keeper))
+    }
+
     /// Returns whether a member answers and does not stop.
     fn stays(&self, member: &Member) -> bool {
         self.answers(member) && !member.leaving
--- a/crates/celerywinch_store/src/raft/voters_tests.rs
+++ b/crates/celerywinch_store/src/raft/voters_tests.rs
@@ -151,6 +151,31 @@
     learners: vec![],
     change: Some(Change::Remove(id(5))),
 })]
+#[case::voters_of_one_data_centre(Case {
+    voters: vec![member(1, 1), member(2, 1), member(3, 2)],
+    learners: vec![member(4, 1), member(5, 2), member(6, 3)],
+    change: Some(Change::Promote(id(6))),
+})]
+#[case::crowded_data_centre(Case {
+    voters: vec![member(1, 1), member(2, 1), member(3, 2), member(6, 3)],
+    learners: vec![],
+    change: Some(Change::Demote(id(2))),
+})]
+#[case::five_voters_of_one_data_centre(Case {
+    voters: (1..=5).map(|n| member(n, 1)).collect(),
+    learners: vec![member(6, 2), member(7, 3)],
+    change: Some(Change::Promote(id(6))),
+})]
+#[case::six_voters_of_two_data_centres(Case {
+    voters: (1..=5).map(|n| member(n, 1)).chain([member(6, 2)]).collect(),
+    learners: vec![member(7, 3)],
+    change: Some(Change::Demote(id(5))),
+})]
+#[case::unknown_data_centre(Case {
+    voters: (1..=5).map(|n| Member { dc: None, ..member(n, 1) }).collect(),
+    learners: vec![member(6, 2)],
+    change: None,
+})]
 #[case::four_voters_without_another(Case {
     voters: (1..=4).map(|n| member(n, n as u8)).collect(),
     learners: vec![],
--- a/crates/celerywinch_store/tests/net/mod.rs
+++ b/crates/celerywinch_store/tests/net/mod.rs
@@ -95,6 +95,12 @@
 impl Net {
     /// Starts a deployment with `per_dc` keepers in each of `dcs` data centres that bears `losses`.
     pub(crate) fn start(dcs: u8, per_dc: u8, losses: usize, seed: u64) -> Self {
+        let keepers: Vec<_> = (0..dcs * per_dc).map(|index| index % dcs).collect();
+        Self::start_in(&keepers, losses, seed)
+    }
+
+    /// Starts a deployment with one keeper in each of `keepers`, which are data centres; the first three keepers form the group.
+    pub(crate) fn start_in(keepers: &[u8], losses: usize, seed: u64) -> Self {
         let mut net = Self {
             nodes: Vec::new(),
             queue: BTreeMap::new(),
@@ -105,8 +111,8 @@
             acknowledged: Vec::new(),
             next_read: 0,
         };
-        for index in 0..dcs * per_dc {
-            net.add(index % dcs, true);
+        for dc in keepers {
+            net.add(*dc, true);
         }
         net.run(Duration::from_secs(5));
         net
--- a/crates/celerywinch_store/tests/replacement.rs
+++ b/crates/celerywinch_store/tests/replacement.rs
@@ -247,6 +247,73 @@
     }
 }
 
+/// Guards against a configuration that is neither read nor changed while a data centre is lost: it had a majority of the voters.
+/// The second loss follows when those of the first are back.
+#[rstest]
+#[case::one_in_each_of_three(Size { dcs: 3, per_dc: 1, losses: 1 })]
+#[case::one_in_each_of_four(Size { dcs: 4, per_dc: 1, losses: 1 })]
+#[case::two_in_each_of_three(Size { dcs: 3, per_dc: 2, losses: 2 })]
+#[case::two_in_each_of_four(Size { dcs: 4, per_dc: 2, losses: 2 })]
+#[case::five_in_each_of_five(Size { dcs: 5, per_dc: 5, losses: 2 })]
+fn loss_of_a_data_centre_is_borne(
+    #[case] size: Size,
+    #[values(false, true)] first_three_in_one: bool,
+) {
+    for first in 0..size.dcs {
+        let mut keepers: Vec<_> = (0..size.dcs * size.per_dc).map(|k| k % size.dcs).collect();
+        if first_three_in_one {
+            keepers.sort_unstable();
+        }
+        let mut net = Net::start_in(&keepers, size.losses, 9);
+        for dc in [first, (first + 1) % size.dcs] {
+            let lost: Vec<_> = net.up().into_iter().filter(|k| net.dc(*k) == dc).collect();
+            for keeper in &lost {
+                net.lose(*keeper, Loss::Restart);
+            }
+            let command = net.acknowledged.len() as u8 + 1;
+            assert!(net.put(command, ACK), "{dc} is lost");
+            assert!(net.read(ACK).is_some(), "{dc} is lost");
+            for keeper in lost {
+                net.restore(keeper);
+            }
+            net.run(CATCH_UP);
+        }
+        check(&mut net, "all are back");
+    }
+}
+
+/// Guards against the same fault where the keepers of one data centre are found first, or most others were lost for a while.
+#[rstest]
+#[case::two_in_each_of_three(Size { dcs: 3, per_dc: 2, losses: 2 })]
+#[case::two_in_each_of_four(Size { dcs: 4, per_dc: 2, losses: 2 })]
+#[case::five_in_each_of_five(Size { dcs: 5, per_dc: 5, losses: 2 })]
+fn voters_are_spread_over_data_centres_found_later(
+    #[case] size: Size,
+    #[values(0, 1_000)] pause: u64,
+) {
+    let mut net = Net::start_in(&vec![0; usize::from(size.per_dc).max(3)], size.losses, 9);
+    for dc in 1..size.dcs {
+        for _ in 0..size.per_dc {
+            net.add(dc, false);
+        }
+        net.run(Duration::from_millis(pause));
+    }
+    net.run(CATCH_UP);
+    for dc in 0..size.dcs {
+        let lost: Vec<_> = net.up().into_iter().filter(|k| net.dc(*k) == dc).collect();
+        for keeper in &lost {
+            net.lose(*keeper, Loss::Restart);
+        }
+        let command = net.acknowledged.len() as u8 + 1;
+        assert!(net.put(command, ACK), "{dc} is lost");
+        for keeper in lost {
+            net.restore(keeper);
+        }
+        net.run(CATCH_UP);
+    }
+    check(&mut net, "all are back");
+}
+
 /// Guards against seconds without a leader when the leader stops as planned: it passes the leadership on.
 #[test]
 fn leader_that_stops_passes_the_leadership_on() {
