Keep workers that state their incarnation in lists only

Some workers state theirs in lists only, so that announcement never comes.

Evidence: after the restart 145 workers are gone with other_life within two seconds, each announced with incarnation 0 just before, and none of them gets a start; the new test failed before.

Why it works: what is announced without an incarnation is told from the worker's own by its known incarnation alone, at a keeper (Foreign) and here (an earlier one).

--- a/crates/celerywinch_pool/src/claims.rs
+++ b/crates/celerywinch_pool/src/claims.rs
@@ -199,7 +199,10 @@
         claim.call = None;
         let claimed = claim.announcement.version.incarnation;
         match answer {
-            Answer::Lists { incarnation, .. } if incarnation.unwrap_or_default() == claimed => {
+            Answer::Lists { incarnation, .. }
+                if claimed == Incarnation::default()
+                    || incarnation.unwrap_or_default() == claimed =>
+            {
                 self.claim_confirmed(now, key, out);
             }
             Answer::OtherIncarnation
--- a/crates/celerywinch_pool/src/worker.rs
+++ b/crates/celerywinch_pool/src/worker.rs
@@ -162,9 +162,11 @@
         self.clock.map(|(_, clock)| clock)
     }
 
-    /// Returns whether an answer comes from another incarnation than the known one.
+    /// Returns whether an answer comes from another incarnation than the known one. Some workers state their incarnation in lists
+    /// only.
     pub(crate) fn is_other_incarnation(&self, incarnation: Incarnation) -> bool {
-        incarnation != self.announcement.version.incarnation
+        let known = self.announcement.version.incarnation;
+        known != Incarnation::default() && incarnation != known
     }
 
     /// Returns whether the worker is owned, answers, is idle, and has all its ends acknowledged.
--- a/crates/celerywinch_pool/tests/worker_incarnations.rs
+++ b/crates/celerywinch_pool/tests/worker_incarnations.rs
@@ -2,9 +2,9 @@
 
 mod rig;
 
-use celerywinch_pool::{Answer, EndedRow, Input, Rejection, RunEnd, RunningRow};
+use celerywinch_pool::{Answer, EndedRow, Input, PoolConfig, Rejection, RunEnd, RunningRow};
 use celerywinch_types::{
-    AnnouncementVersion, Incarnation, JobId, PriorRuns, Resources, TaskEnd, TaskId,
+    AnnouncementVersion, Fence, Incarnation, JobId, PriorRuns, Resources, TaskEnd, TaskId,
     WorkerAnnouncement, WorkerStage,
 };
 use rig::{
@@ -226,6 +226,29 @@
     assert_eq!(rig.count_calls(is_start) == 1, case.takes_task);
 }
 
+/// Guards against a deployment that serves nothing: workers state their incarnation in their lists and not when they announce
+/// themselves, and each counted as one that is not announced yet. Their announcements have to count as well.
+#[test]
+fn worker_that_states_its_incarnation_in_lists_only_gets_tasks() {
+    let mut rig = Rig::empty(PoolConfig::default());
+    rig.handle(Input::Workers(vec![announcement(0, 3, WorkerStage::Ready)]));
+    rig.handle(Input::Acquire(rig::DOMAIN, Fence(5 << 5)));
+    let poll = rig.last_call(is_poll);
+    rig.answer(&poll, lists_of(7, Vec::new(), Vec::new()));
+    rig.submit(step(PriorRuns::None, 0));
+    assert_eq!(rig.count_calls(is_start), 1);
+    rig.handle(Input::Workers(vec![announcement(
+        0,
+        4,
+        WorkerStage::Draining,
+    )]));
+    let mut order = step(PriorRuns::None, 0);
+    order.job = LATER_JOB;
+    rig.submit(order);
+    rig.advance(50);
+    assert_eq!(rig.count_calls(is_start), 1, "it leaves");
+}
+
 /// Returns an announcement of the second incarnation of the worker that the rig has, with a label.
 fn labelled(label: &str) -> WorkerAnnouncement {
     WorkerAnnouncement {
