--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -6,4 +6,4 @@
 [ -x "$standin" ] && [ -x "$program" ] || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-"$standin" cancelled-job "$program" "$folder" review/7/record.txt
+"$standin" invalid-config "$program" "$folder" review/7/record.txt
