--- a/review/standin-2/deployment.rs
+++ b/review/standin-2/deployment.rs
@@ -20,13 +20,18 @@
 /// The ids of the processes that were started and not ended yet.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
+/// Sends a signal to a process that was started. By the shell's own `kill`, as not each machine has a program of that name.
+fn signal(id: u32, name: &str) -> std::io::Result<std::process::ExitStatus> {
+    Command::new("sh")
+        .arg("-c")
+        .arg(format!("kill -{name} {id}"))
+        .status()
+}
+
 /// Kills all processes that were started.
 pub fn kill_all() {
     for id in STARTED.lock().expect("the ids").drain(..) {
-        let _ = Command::new("kill")
-            .arg("-KILL")
-            .arg(id.to_string())
-            .status();
+        let _ = signal(id, "KILL");
     }
 }
 
@@ -200,10 +205,7 @@
             .iter()
             .find(|(at, is_keeper, _)| *at == zone && !is_keeper);
         let (_, _, child) = entry.ok_or("no such entry")?;
-        let sent = Command::new("kill")
-            .arg("-TERM")
-            .arg(child.id().to_string())
-            .status();
+        let sent = signal(child.id(), "TERM");
         sent.is_ok_and(|status| status.success())
             .then_some(())
             .ok_or("the signal could not be sent".to_owned())
