Review, cases 6 and 8: fairer stand-ins

The choice of free addresses no longer overflows and skips those used before. How: serves_in_time and start_workers in the stand-in.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::deployment::{Deployment, ZONES};
 use crate::http;
@@ -88,15 +88,12 @@
     )
 }
 
-/// Puts version 1 in force, with the given routes, and starts a worker in each zone, of these kinds.
-fn prepare(
+/// Starts a worker in each zone, of these kinds.
+fn start_workers(
     deployment: &Deployment,
-    routes: &[String],
     kinds: [&str; ZONES as usize],
+    states_born: bool,
 ) -> Result<Vec<Arc<Worker>>, String> {
-    if !deployment.put_config(&config(1, routes), "version 1", START_LIMIT) {
-        return Err("version 1 was not acknowledged".to_owned());
-    }
     let start = |zone: u8| {
         let id = format!("i-{zone}a91c2");
         Worker::start(
@@ -105,12 +102,26 @@
             &format!("z{zone}"),
             SERVICE,
             kinds[usize::from(zone) - 1],
+            states_born,
             deployment.keepers(),
             deployment.record.clone(),
         )
     };
     let workers: Result<Vec<_>, _> = (1..=ZONES).map(start).collect();
-    let workers = workers.map_err(|error| error.to_string())?;
+    workers.map_err(|error| error.to_string())
+}
+
+/// Puts version 1 in force, with the given routes, and starts a worker in each zone, of these kinds.
+fn prepare(
+    deployment: &Deployment,
+    routes: &[String],
+    kinds: [&str; ZONES as usize],
+    states_born: bool,
+) -> Result<Vec<Arc<Worker>>, String> {
+    if !deployment.put_config(&config(1, routes), "version 1", START_LIMIT) {
+        return Err("version 1 was not acknowledged".to_owned());
+    }
+    let workers = start_workers(deployment, kinds, states_born)?;
     if !deployment.wait_ready() {
         return Err("the entries did not become ready".to_owned());
     }
@@ -143,7 +154,7 @@
         route("r-check", HOST, "/check/"),
         route("r-quote", HOST, "/quote/"),
     ];
-    let _workers = prepare(deployment, &routes, ["a", "a", "a"])?;
+    let _workers = prepare(deployment, &routes, ["a", "a", "a"], false)?;
     if client(
         deployment,
         1,
@@ -210,6 +221,7 @@
         deployment,
         &[route("r-check", HOST, "/check/")],
         ["a", "a", "a"],
+        false,
     )?;
     let path = format!("/check/{JOB}");
     let two_steps = r#"{"spec":"ms=4000 cpu=500","bestEffort":true,"steps":[{"count":1,"cpu":500,"memMb":64,"estimateMs":4000},{"count":1,"cpu":500,"memMb":64,"estimateMs":4000,"after":[0]}]}"#;
@@ -256,6 +268,7 @@
         deployment,
         &[route("r-check", HOST, "/check/")],
         ["a", "a", "a"],
+        true,
     )?;
     if client(
         deployment,
@@ -313,6 +326,7 @@
         deployment,
         &[route_with_target("r-check", HOST, "/check/", 40_000)],
         ["b", "a", "a"],
+        false,
     )?;
     let job = format!(
         r#"{{"spec":"ms={BUSY_MS} cpu=16000","bestEffort":true,"steps":[{{"count":1,"cpu":16000,"memMb":64,"estimateMs":{BUSY_MS},"requirements":"b"}}]}}"#
@@ -369,6 +383,35 @@
     })
 }
 
+/// An operator sends the first configuration and a client a job, again and again, to all keepers and entries in turn. Returns
+/// whether the configuration is acknowledged, or a job is served, within `RECOVERED`.
+fn serves_in_time(deployment: &Deployment, body: &[u8]) -> bool {
+    let until = Instant::now() + RECOVERED;
+    let mut acknowledged = false;
+    for (number, zone) in (0u32..).zip((1..=ZONES).cycle()) {
+        let answer = http::call(
+            deployment.keeper(zone),
+            "PUT",
+            "/-/config",
+            "control",
+            body,
+            Duration::from_secs(1),
+        );
+        let status = answer.map_or(0, |answer| answer.status());
+        deployment.record.line(&format!(
+            "operator: version 1 at the keeper in z{zone} is answered with {status}"
+        ));
+        acknowledged |= status == 200;
+        let path = format!("/check/{number:016x}");
+        let served = client(deployment, zone, "POST", &path, HOST, &job(50)) == 200;
+        if served || Instant::now() > until {
+            return served || acknowledged;
+        }
+        thread::sleep(Duration::from_millis(300));
+    }
+    false
+}
+
 /// Systems start for the first time, and all processes of the core are killed at once as the group of keepers forms.
 pub fn first_start(program: &Path, folder: &Path, record: &Record, trouble: bool) -> Outcome {
     /// First starts, each with empty disks, until one does not recover.
@@ -386,23 +429,14 @@
                 return Err("no keeper led within five seconds".to_owned());
             }
         }
-        if deployment.put_config(&body, "version 1", RECOVERED) {
+        let _workers = start_workers(&deployment, ["a", "a", "a"], false)?;
+        if serves_in_time(&deployment, &body) {
             continue;
         }
         let wait = RECOVERED.as_secs();
         record.line(&format!(
-            "no keeper has acknowledged the first configuration in {wait} s"
+            "in {wait} s no keeper has acknowledged the first configuration, and no request was served"
         ));
-        for entry in 1..=ZONES {
-            client(
-                &deployment,
-                entry,
-                "POST",
-                "/check/5c0e7a21d94b36f8",
-                HOST,
-                &job(50),
-            );
-        }
         return if trouble {
             Ok(true)
         } else {
--- a/review/standin-2/deployment.rs
+++ b/review/standin-2/deployment.rs
@@ -20,6 +20,9 @@
 /// The ids of the processes that were started and not ended yet.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
+/// The second bytes of addresses that this stand-in has used.
+static USED_NETS: Mutex<Vec<u8>> = Mutex::new(Vec::new());
+
 /// Sends a signal to a process that was started. By the shell's own `kill`, as not each machine has a program of that name.
 fn signal(id: u32, name: &str) -> std::io::Result<std::process::ExitStatus> {
     Command::new("sh")
@@ -45,14 +48,20 @@
 
 /// Returns a second byte of loopback addresses that is free at present, with a listener that keeps other stand-ins off it.
 fn free_net() -> Option<(u8, TcpListener)> {
-    let first = 20 + (std::process::id() % 200) as u8;
-    (0..200u8)
-        .map(|step| 20 + (first - 20 + step) % 200)
-        .find_map(|net| {
-            let lock = TcpListener::bind((Ipv4Addr::new(127, net, 250, 250), CONTROL_PORT)).ok()?;
-            TcpListener::bind((Ipv4Addr::new(127, net, 1, 16), CONTROL_PORT)).ok()?;
-            Some((net, lock))
-        })
+    // The workers of an earlier start keep their addresses until the stand-in ends.
+    let mut used = USED_NETS.lock().expect("the nets");
+    let first = std::process::id() % 200;
+    let found = (0..200).find_map(|step| {
+        let net = 20 + ((first + step) % 200) as u8;
+        if used.contains(&net) {
+            return None;
+        }
+        let lock = TcpListener::bind((Ipv4Addr::new(127, net, 250, 250), CONTROL_PORT)).ok()?;
+        TcpListener::bind((Ipv4Addr::new(127, net, 1, 16), CONTROL_PORT)).ok()?;
+        Some((net, lock))
+    })?;
+    used.push(found.0);
+    Some(found)
 }
 
 impl Deployment {
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::http::{self, Message};
 use crate::json::{quote, Value};
@@ -60,6 +60,8 @@
     zone: String,
     service: String,
     kind: String,
+    /// The Unix millisecond of its start, where the pages have workers state it as `born`.
+    started_at: Option<u64>,
     born: Instant,
     record: Record,
     state: Mutex<State>,
@@ -74,6 +76,7 @@
         zone: &str,
         service: &str,
         kind: &str,
+        states_born: bool,
         keepers: Vec<SocketAddr>,
         record: Record,
     ) -> std::io::Result<Arc<Worker>> {
@@ -83,6 +86,7 @@
             zone: zone.to_owned(),
             service: service.to_owned(),
             kind: kind.to_owned(),
+            started_at: states_born.then(unix_millis),
             born: Instant::now(),
             record,
             state: Mutex::new(State::default()),
@@ -108,16 +112,22 @@
         FIRST_CLOCK_MS + self.born.elapsed().as_millis() as u64
     }
 
+    fn born_field(&self) -> String {
+        let field = |born| format!(r#","born":{born}"#);
+        self.started_at.map(field).unwrap_or_default()
+    }
+
     /// Returns the body of a ping.
     pub fn ping(&self, sequence: u64, state: &str, labels: &[&str]) -> String {
         let labels: Vec<_> = labels.iter().map(|label| quote(label)).collect();
         format!(
-            r#"{{"service":{},"address":"{}","zone":{},"version":"v1","slots":8,"state":"{state}","coldLeftMs":0,"capacity":{{"cpu":{CPU},"memMb":32768,"gpu":0}},"labels":[{}],"clockMs":{},"sequence":{sequence}}}"#,
+            r#"{{"service":{},"address":"{}","zone":{},"version":"v1","slots":8,"state":"{state}","coldLeftMs":0,"capacity":{{"cpu":{CPU},"memMb":32768,"gpu":0}},"labels":[{}],"clockMs":{},"sequence":{sequence}{}}}"#,
             quote(&self.service),
             self.addr,
             quote(&self.zone),
             labels.join(","),
-            self.clock()
+            self.clock(),
+            self.born_field()
         )
     }
 
@@ -347,9 +357,15 @@
             })
             .collect();
         format!(
-            r#"{{"clockMs":{clock},"running":[{}],"finished":[{}]}}"#,
+            r#"{{"clockMs":{clock},"running":[{}],"finished":[{}]{}}}"#,
             running.join(","),
-            ends.join(",")
+            ends.join(","),
+            self.born_field()
         )
     }
 }
+
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |span| span.as_millis() as u64)
+}
