--- a/crates/celerywinch_fleet/src/config.rs
+++ b/crates/celerywinch_fleet/src/config.rs
@@ -46,7 +46,7 @@
     /// ones, and is then dropped.
     fn call(&self, call: Call) -> Pin<Box<dyn Future<Output = Answer>>>;
 
-    /// Parses a configuration document as sent by an operator.
+    /// Parses a configuration document from the store, which an earlier release may have accepted.
     ///
     /// # Errors
     ///
--- a/crates/celerywinch_fleet/src/handle.rs
+++ b/crates/celerywinch_fleet/src/handle.rs
@@ -166,8 +166,8 @@
 
     /// Puts a validated document in force, unless the stored version is as high or higher. Returns the version stored afterwards,
     /// or `None` if the outcome is unknown.
-    pub async fn propose_config(&self, version: u64, document: Vec<u8>) -> Option<u64> {
-        let request = KeeperRequest::PutDocument(version, document);
+    pub async fn propose_config(&self, version: u64, document: String) -> Option<u64> {
+        let request = KeeperRequest::PutDocument(version, document.into_bytes());
         let state = tokio::time::timeout(REQUEST_TIMEOUT, self.request_keepers(request)).await;
         Some(state.ok().flatten()?.version)
     }
