--- a/crates/celerywinchd/tests/harness/mod.rs
+++ b/crates/celerywinchd/tests/harness/mod.rs
@@ -42,6 +42,17 @@
     pub keepers: usize,
     /// Instances without a data folder.
     pub diskless: &'static [usize],
+    /// Resource limits of all processes.
+    pub limits: Option<ResourceLimits>,
+}
+
+/// Resource limits of a process.
+#[derive(Clone, Copy)]
+pub(crate) struct ResourceLimits {
+    /// Memory for data, in KiB.
+    pub data_kb: u64,
+    /// Number of open descriptors.
+    pub fds: u64,
 }
 
 impl Default for ClusterConfig {
@@ -54,6 +65,7 @@
             window_ms: 30_000,
             keepers: 0,
             diskless: &[],
+            limits: None,
         }
     }
 }
@@ -63,7 +75,9 @@
     pub caller_addr: SocketAddr,
     pub endpoint_addr: SocketAddr,
     pub operator_addr: SocketAddr,
+    pub peer_addr: SocketAddr,
     pub dc: &'static str,
+    limits: Option<ResourceLimits>,
     settings: PathBuf,
     child: Option<Child>,
 }
@@ -128,7 +142,9 @@
                 caller_addr: free_port(),
                 endpoint_addr: free_port(),
                 operator_addr: free_port(),
+                peer_addr: peers[index],
                 dc,
+                limits: config.limits,
                 settings: dir.path().join(format!("settings-{index}.yaml")),
                 child: None,
             };
@@ -339,7 +355,17 @@
     /// Starts or restarts the process.
     pub(crate) fn spawn(&mut self) -> anyhow::Result<()> {
         let log = std::env::var("CELERYWINCH_TEST_LOG").unwrap_or_else(|_| "warn".into());
-        let child = Command::new(env!("CARGO_BIN_EXE_celerywinchd"))
+        let program = env!("CARGO_BIN_EXE_celerywinchd");
+        let mut command = match self.limits {
+            Some(ResourceLimits { data_kb, fds }) => {
+                let mut shell = Command::new("sh");
+                let script = format!("ulimit -d {data_kb}; ulimit -n {fds}; exec \"$0\" \"$@\"");
+                shell.arg("-c").arg(script).arg(program);
+                shell
+            }
+            None => Command::new(program),
+        };
+        let child = command
             .arg("--settings")
             .arg(&self.settings)
             .arg("--log")
@@ -350,6 +376,18 @@
         Ok(())
     }
 
+    /// Returns the number by which the operating system knows the process.
+    pub(crate) fn pid(&self) -> u32 {
+        let child = self.child.as_ref();
+        child.expect("a process that was started").id()
+    }
+
+    /// Returns whether the process has ended by itself.
+    pub(crate) fn has_ended(&mut self) -> bool {
+        let child = self.child.as_mut();
+        child.is_none_or(|child| child.try_wait().is_ok_and(|status| status.is_some()))
+    }
+
     fn signal(&self, signal: Signal) {
         if let Some(child) = &self.child {
             let _ = kill_process(Pid::from_child(child), signal);
