Admission: one budget of memory and descriptors for all connections of clients

What callers saw: in a trial, clients that send legal bodies up to just before their end, and keep their connections open, ended a process for lack of memory; others that only take connections leave none for callers, peers and readiness checks.

Cause: each request had limits, and their sum had none. Bodies had no time limit; the operators' header and idle timeouts were not used; a head could hold 64 KiB, at links 16 MiB; each connection that does not read held a copy of the configuration; links answered any number of requests without the secret; the receive buffers of the operating system grew without limit; the main listener could take all descriptors.

Change: celerywinch_admission, a state machine, adds up what all connections hold, and closes those that have waited the longest for their clients when the machine's memory or descriptors require it. celerywinch_http runs the servers of both kinds of deployment by its decisions, and keeps incomplete bodies itself, so that their memory is free at once. Heads, bodies, silence and unread answers have time limits. Links close connections whose senders do not identify themselves. A connection that does not wait for its answers yields to others. What is closed or refused is logged at a limited rate, and counted in the metrics, with the reason.

Why this works: a connection that waits for its client can be closed at any moment, since nothing of its request has run; the ones that wait longest are not those of ordinary callers; and what cannot be closed, requests that are being served, is bounded by the same budget.

--- a/crates/celerywinch_fleet/src/config.rs
+++ b/crates/celerywinch_fleet/src/config.rs
@@ -26,6 +26,8 @@
     pub dcs: BTreeSet<DataCentreId>,
     /// Address on which it listens for other processes. All processes use the same port.
     pub link_addr: SocketAddr,
+    /// Limits on incoming links whose senders are not identified yet.
+    pub link_limits: celerywinch_links::Limits,
     /// Keepers that it contacts first.
     pub seeds: Vec<InstanceId>,
     /// Whether the deployment starts for the first time, with empty disks.
--- a/crates/celerywinch_fleet/src/core.rs
+++ b/crates/celerywinch_fleet/src/core.rs
@@ -231,7 +231,7 @@
     ntex::rt::spawn(celerywinch_links::listen(
         listener,
         host.clone(),
-        links::config(me),
+        links::config(me, config.link_limits.clone()),
     ));
     let store = match config.kind {
         ProcessKind::Keeper => Some(store::start(&config, clock, sender.clone())?),
@@ -304,7 +304,7 @@
             member: Member::new(member, now, clock.wall()),
             journal: Journal::start(me, clock)?,
             metrics,
-            links: Links::new(host, links::config(me)),
+            links: Links::new(host, links::config(me, config.link_limits.clone())),
             snapshot,
             last_tick: now,
             traffic_logged: now,
--- a/crates/celerywinch_fleet/src/handle.rs
+++ b/crates/celerywinch_fleet/src/handle.rs
@@ -1,6 +1,6 @@
 //! The handle by which a host controls the process.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
@@ -11,6 +11,7 @@
     DataCentreId, EvacuationOrder, Incarnation, InstanceId, JobEnd, KeeperRequest, KeeperState,
     QueueConfig, WallMs, WorkerAnnouncement,
 };
+use prometheus::{IntGauge, IntGaugeVec};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 
@@ -18,6 +19,9 @@
 use crate::core::CoreMsg;
 use crate::metrics::Metrics;
 
+/// The expected size of a document before one is known, in bytes.
+const UNKNOWN_DOCUMENT_BYTES: usize = 1 << 20;
+
 /// State that requests read without a message to the core.
 #[derive(Debug, Default)]
 pub(crate) struct Snapshot {
@@ -25,6 +29,8 @@
     pub(crate) ready: AtomicBool,
     pub(crate) stop_schedule: OnceLock<StopSchedule>,
     pub(crate) open_jobs: AtomicU64,
+    /// The size of the newest document that was read or sent here, in bytes; 0 before.
+    pub(crate) document_bytes: AtomicUsize,
     /// Whether the group of keepers no longer needs this one, which stops as planned.
     pub(crate) store_left: AtomicBool,
 }
@@ -117,6 +123,29 @@
         self.metrics.text()
     }
 
+    /// Publishes the number of open connections of clients at a listener, and its limit.
+    pub fn set_connections(&self, listener: &str, open: usize, limit: usize) {
+        let set = |gauges: &IntGaugeVec, value: usize| {
+            let value = i64::try_from(value).unwrap_or(i64::MAX);
+            gauges.with_label_values(&[listener]).set(value);
+        };
+        set(&self.metrics.client_connections, open);
+        set(&self.metrics.client_connections_limit, limit);
+    }
+
+    /// Publishes the memory that connections of clients take, and its limit, in bytes.
+    pub fn set_client_memory(&self, used: u64, limit: u64) {
+        let set = |gauge: &IntGauge, value| gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+        set(&self.metrics.client_memory, used);
+        set(&self.metrics.client_memory_limit, limit);
+    }
+
+    /// Counts connections that were closed, and requests that were refused, to stay within the limits.
+    pub fn count_closed(&self, reason: &str, count: u64) {
+        let closed = &self.metrics.closed_connections;
+        closed.with_label_values(&[reason]).inc_by(count);
+    }
+
     /// Returns the time of day.
     #[must_use]
     pub fn wall(&self) -> WallMs {
@@ -167,6 +196,7 @@
     /// Puts a validated document in force, unless the stored version is as high or higher. Returns the version stored afterwards,
     /// or `None` if the outcome is unknown.
     pub async fn propose_config(&self, version: u64, document: String) -> Option<u64> {
+        self.note_document(document.len());
         let request = KeeperRequest::PutDocument(version, document.into_bytes());
         let state = tokio::time::timeout(REQUEST_TIMEOUT, self.request_keepers(request)).await;
         Some(state.ok().flatten()?.version)
@@ -176,7 +206,22 @@
     pub async fn read_config(&self) -> Option<KeeperState> {
         let request = self.request_keepers(KeeperRequest::ReadDocument);
         let state = tokio::time::timeout(REQUEST_TIMEOUT, request).await;
-        state.ok().flatten()
+        let state = state.ok().flatten()?;
+        self.note_document(state.document.len());
+        Some(state)
+    }
+
+    /// Returns the expected size of the document that `read_config` returns, in bytes.
+    #[must_use]
+    pub fn document_bytes(&self) -> usize {
+        match self.snapshot.document_bytes.load(Ordering::Relaxed) {
+            0 => UNKNOWN_DOCUMENT_BYTES,
+            bytes => bytes,
+        }
+    }
+
+    fn note_document(&self, bytes: usize) {
+        self.snapshot.document_bytes.store(bytes, Ordering::Relaxed);
     }
 
     /// Starts or ends the evacuation of a data centre. Returns false if the outcome is unknown.
--- a/crates/celerywinch_fleet/src/links.rs
+++ b/crates/celerywinch_fleet/src/links.rs
@@ -1,6 +1,6 @@
 //! The host of the links between processes.
 
-use celerywinch_links::{Host, LinkConfig, LinkEvent};
+use celerywinch_links::{CloseReason, Host, Limits, LinkConfig, LinkEvent};
 use celerywinch_types::{FleetMsg, InstanceId, Process};
 use tokio::sync::mpsc::UnboundedSender;
 
@@ -25,11 +25,12 @@
 }
 
 /// Returns the configuration of the links of a process.
-pub(crate) fn config(me: Process) -> LinkConfig {
+pub(crate) fn config(me: Process, limits: Limits) -> LinkConfig {
     LinkConfig {
         me,
         secret: SECRET.to_owned(),
         window: FLOW_WINDOW,
+        limits,
     }
 }
 
@@ -50,6 +51,11 @@
         let _ = self.core.send(CoreMsg::Rejected(from, current));
     }
 
+    fn closed(&self, reason: CloseReason) {
+        let closed = &self.metrics.closed_connections;
+        closed.with_label_values(&[reason.label()]).inc();
+    }
+
     fn event(&self, peer: InstanceId, event: LinkEvent) {
         let _ = self.core.send(CoreMsg::Link(peer, event));
     }
--- a/crates/celerywinch_fleet/src/metrics.rs
+++ b/crates/celerywinch_fleet/src/metrics.rs
@@ -79,6 +79,11 @@
     pub(crate) evacuated_data_centres: IntGauge,
     pub(crate) evacuated_runs: IntGauge,
     pub(crate) version: IntGauge,
+    pub(crate) client_connections: IntGaugeVec,
+    pub(crate) client_connections_limit: IntGaugeVec,
+    pub(crate) client_memory: IntGauge,
+    pub(crate) client_memory_limit: IntGauge,
+    pub(crate) closed_connections: IntCounterVec,
 }
 
 impl Metrics {
@@ -203,6 +208,29 @@
                 "Runs of this dispatcher that remain in evacuated data centres.",
             )?,
             version: meter.gauge("version", "Version of the configuration in force.")?,
+            client_connections: meter.gauge_vec(
+                "client_connections",
+                "Open connections of clients, by listener.",
+                "listener",
+            )?,
+            client_connections_limit: meter.gauge_vec(
+                "client_connections_limit",
+                "Largest number of open connections of clients, by listener.",
+                "listener",
+            )?,
+            client_memory: meter.gauge(
+                "client_memory_bytes",
+                "Memory accounted to connections of clients, in bytes.",
+            )?,
+            client_memory_limit: meter.gauge(
+                "client_memory_limit_bytes",
+                "Largest memory for connections of clients, in bytes.",
+            )?,
+            closed_connections: meter.counter_vec(
+                "closed_connections_total",
+                "Connections closed and requests refused to stay within the limits, by reason.",
+                "reason",
+            )?,
             meter,
         })
     }
--- a/crates/celerywinch_links/src/lib.rs
+++ b/crates/celerywinch_links/src/lib.rs
@@ -11,6 +11,7 @@
 mod incoming;
 mod outgoing;
 mod streams;
+mod unidentified;
 
 use std::cell::Cell;
 use std::collections::BTreeMap;
@@ -22,6 +23,7 @@
 use serde::de::DeserializeOwned;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 
+pub use celerywinch_admission::{CloseReason, Limits, LimitsBuilder, Share};
 pub use incoming::listen;
 pub use streams::{LatestStreams, Ticket};
 
@@ -67,6 +69,9 @@
     /// Called when a stream was closed because a later one of its instance is open.
     fn rejected(&self, _from: Process, _current: Process) {}
 
+    /// Called when an incoming connection was closed before its sender was identified.
+    fn closed(&self, _reason: CloseReason) {}
+
     /// Called when the link to a peer changes.
     fn event(&self, peer: InstanceId, event: LinkEvent);
 
@@ -89,6 +94,8 @@
     pub secret: String,
     /// Flow-control window of a stream and a connection, in bytes; covers a burst of messages.
     pub window: u32,
+    /// Limits on incoming connections whose senders are not identified yet; of its listeners only the first one is used.
+    pub limits: Limits,
 }
 
 /// A command to the task of a link.
--- a/crates/celerywinch_links/tests/restart.rs
+++ b/crates/celerywinch_links/tests/restart.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use celerywinch_links::{Host, LinkConfig, LinkEvent, Links, listen};
+use celerywinch_links::{Host, LimitsBuilder, LinkConfig, LinkEvent, Links, Share, listen};
 use celerywinch_types::{Incarnation, InstanceId, Process};
 use ntex::rt::{DefaultRuntime, System};
 use rstest::rstest;
@@ -52,6 +52,7 @@
         },
         secret: "secret".to_owned(),
         window: 1 << 16,
+        limits: LimitsBuilder::default().build(&[("links", Share::Peers)]),
     }
 }
 
--- a/crates/celerywinch_node/src/http/callers.rs
+++ b/crates/celerywinch_node/src/http/callers.rs
@@ -35,7 +35,7 @@
         let value = request.headers().get(name)?;
         value.to_str().ok().map(ToOwned::to_owned)
     };
-    let body = match read_body(payload, shared.settings.body_bytes).await {
+    let body = match read_body(&request, payload, shared.settings.body_bytes).await {
         Ok(body) => body,
         Err(problem) => return reject(&shared, "body", &problem),
     };
@@ -92,8 +92,12 @@
     state: celerywinch_entry::CancelState,
 }
 
-async fn cancel(payload: Payload, shared: State<Arc<Shared>>) -> HttpResponse {
-    let body = match read_body(payload, shared.settings.body_bytes).await {
+async fn cancel(
+    request: HttpRequest,
+    payload: Payload,
+    shared: State<Arc<Shared>>,
+) -> HttpResponse {
+    let body = match read_body(&request, payload, shared.settings.body_bytes).await {
         Ok(body) => body,
         Err(problem) => return problem.response(),
     };
--- a/crates/celerywinch_node/src/http/endpoints.rs
+++ b/crates/celerywinch_node/src/http/endpoints.rs
@@ -7,7 +7,7 @@
 use celerywinch_members::{LEASE, RENEWAL_INTERVAL};
 use celerywinch_types::{EndpointAnnouncement, EndpointState};
 use ntex::web::types::{Payload, State};
-use ntex::web::{self, HttpResponse, ServiceConfig};
+use ntex::web::{self, HttpRequest, HttpResponse, ServiceConfig};
 use serde::Deserialize;
 
 use super::{Problem, read_body};
@@ -36,8 +36,12 @@
     sequence: u64,
 }
 
-async fn announce(payload: Payload, shared: State<Arc<Shared>>) -> HttpResponse {
-    let body = match read_body(payload, MAX_ANNOUNCEMENT_BYTES).await {
+async fn announce(
+    request: HttpRequest,
+    payload: Payload,
+    shared: State<Arc<Shared>>,
+) -> HttpResponse {
+    let body = match read_body(&request, payload, MAX_ANNOUNCEMENT_BYTES).await {
         Ok(body) => body,
         Err(problem) => return problem.response(),
     };
--- a/crates/celerywinch_node/src/http/mod.rs
+++ b/crates/celerywinch_node/src/http/mod.rs
@@ -12,22 +12,28 @@
 pub(crate) use operators::configure as operators;
 pub(crate) use problem::Problem;
 
-use ntex::util::BytesMut;
+use celerywinch_http::{Body, BodyError, Visit};
+use ntex::web::HttpRequest;
 use ntex::web::types::Payload;
 
+/// The time after which a request for which there was no memory may be sent again, in ms.
+const MEMORY_RETRY_MS: u32 = 1_000;
+
 /// Reads a body of at most `limit` bytes.
-async fn read_body(mut payload: Payload, limit: usize) -> Result<Vec<u8>, Problem> {
-    let mut body = BytesMut::new();
-    while let Some(chunk) = payload.recv().await {
-        let chunk = chunk.map_err(|error| {
-            Problem::new(400, "body", "the body was cut off").detail(&error.to_string())
-        })?;
-        if body.len() + chunk.len() > limit {
-            return Err(Problem::new(413, "body", "the body is too long")
-                .field("body")
-                .detail(&format!("wanted at most {limit} bytes")));
-        }
-        body.extend_from_slice(&chunk);
-    }
-    Ok(body.to_vec())
+async fn read_body(request: &HttpRequest, payload: Payload, limit: usize) -> Result<Body, Problem> {
+    let visit = request.extensions().get::<Visit>().cloned();
+    // Absent if the connection was closed in the meantime.
+    let visit = visit.ok_or_else(Problem::internal)?;
+    let body = visit.read_payload(payload.into_inner(), limit).await;
+    body.map_err(|error| match error {
+        BodyError::Incomplete => Problem::new(400, "body", "the body was cut off"),
+        BodyError::TooLarge => Problem::new(413, "body", "the body is too long")
+            .field("body")
+            .detail(&format!("wanted at most {limit} bytes")),
+        // An earlier submission under the same key may have run.
+        BodyError::Refused(_) => Problem::new(503, "undecided", "the request was not read")
+            .ran("maybe")
+            .detail(&error.to_string())
+            .retry(Some(MEMORY_RETRY_MS), "same"),
+    })
 }
--- a/crates/celerywinch_node/src/http/operators.rs
+++ b/crates/celerywinch_node/src/http/operators.rs
@@ -74,7 +74,7 @@
     if !authorised(&request, &shared) {
         return unauthorised();
     }
-    let body = match read_body(payload, MAX_EDIT_BYTES).await {
+    let body = match read_body(&request, payload, MAX_EDIT_BYTES).await {
         Ok(body) => body,
         Err(problem) => return problem.response(),
     };
--- a/crates/celerywinch_node/src/lib.rs
+++ b/crates/celerywinch_node/src/lib.rs
@@ -12,6 +12,8 @@
 mod links;
 mod metrics;
 mod node;
+mod resources;
+mod servers;
 mod shared;
 mod store;
 mod timeline;
--- a/crates/celerywinch_node/src/links.rs
+++ b/crates/celerywinch_node/src/links.rs
@@ -4,14 +4,14 @@
 
 use anyhow::Context;
 use celerywinch_entry::{Event, Input};
-use celerywinch_links::{Host, LinkConfig, LinkEvent};
+use celerywinch_links::{CloseReason, Host, LinkConfig, LinkEvent, Share};
 use celerywinch_settings::Secret;
 use celerywinch_types::{InstanceId, PeerMsg, Process};
 use tokio::sync::mpsc::UnboundedSender;
 
-use crate::Clock;
 use crate::metrics::Metrics;
 use crate::shared::CoreMsg;
+use crate::{Clock, resources};
 
 /// Flow-control window of a stream and a connection, in bytes; covers a burst of replies.
 const FLOW_CONTROL_WINDOW: u32 = 8 << 20;
@@ -36,11 +36,16 @@
             me: self.me,
             secret: self.secret.expose().to_owned(),
             window: FLOW_CONTROL_WINDOW,
+            limits: resources::limits().build(&[("peers", Share::Peers)]),
         }
     }
 }
 
 impl Host<PeerMsg> for LinkContext {
+    fn closed(&self, reason: CloseReason) {
+        self.metrics.count_closed(reason, 1);
+    }
+
     fn received(&self, from: Process, msg: PeerMsg) -> anyhow::Result<()> {
         self.metrics.messages_received.inc();
         let input = CoreMsg::Input(Input::PeerMessage(from, msg));
--- a/crates/celerywinch_node/src/metrics.rs
+++ b/crates/celerywinch_node/src/metrics.rs
@@ -1,8 +1,9 @@
 //! The metrics of a process.
 
 use celerywinch_entry::{Event, Status};
+use celerywinch_http::CloseReason;
 use celerywinch_metrics::Meter;
-use prometheus::{IntCounter, IntCounterVec, IntGauge};
+use prometheus::{IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
 
 /// Counters and gauges; all clones share them.
 #[derive(Clone, Debug)]
@@ -22,6 +23,9 @@
     suspended: IntGauge,
     claim_records: IntGauge,
     catalogue_version: IntGauge,
+    pub(crate) client_connections: IntGaugeVec,
+    pub(crate) client_memory: IntGauge,
+    closed_connections: IntCounterVec,
 }
 
 impl Metrics {
@@ -74,10 +78,30 @@
             )?,
             catalogue_version: meter
                 .gauge("catalogue_version", "Version of the catalogue in force.")?,
+            client_connections: meter.gauge_vec(
+                "client_connections",
+                "Open connections of clients, by listener.",
+                "listener",
+            )?,
+            client_memory: meter.gauge(
+                "client_memory_bytes",
+                "Memory accounted to connections of clients, in bytes.",
+            )?,
+            closed_connections: meter.counter_vec(
+                "closed_connections_total",
+                "Connections closed and requests refused to stay within the limits, by reason.",
+                "reason",
+            )?,
             meter,
         })
     }
 
+    /// Counts connections that were closed, and requests that were refused, to stay within the limits.
+    pub(crate) fn count_closed(&self, reason: CloseReason, count: u64) {
+        let closed = &self.closed_connections;
+        closed.with_label_values(&[reason.label()]).inc_by(count);
+    }
+
     /// Counts an event; logs a violated invariant.
     pub(crate) fn record_event(&self, event: &Event) {
         let name = event.name();
--- a/crates/celerywinch_node/src/node.rs
+++ b/crates/celerywinch_node/src/node.rs
@@ -16,9 +16,6 @@
 use celerywinch_settings::{Settings, load_catalogue};
 use celerywinch_types::{InstanceId, Process};
 use ntex::rt::Arbiter;
-use ntex::server::Server;
-use ntex::time::Seconds;
-use ntex::web::{App, HttpServer};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::oneshot;
 
@@ -26,17 +23,15 @@
 use crate::core::Core;
 use crate::links::{LinkContext, Links};
 use crate::metrics::Metrics;
+use crate::servers::{Server, Surface};
 use crate::shared::{CoreMsg, ListenAddrs, Shared};
 use crate::store::{self, StoreInput, StoreOptions};
 use crate::timeline::Timeline;
-use crate::{Clock, http, incarnation};
+use crate::{Clock, incarnation};
 
 /// Margin for the resolution of the creation times in keys.
 const KEY_TIME_MARGIN: Duration = Duration::from_millis(2);
 
-/// How long connections may stay open after the last response was written to them.
-const SHUTDOWN_TIMEOUT: Seconds = Seconds(1);
-
 /// Values that replace those of the settings, for tests and benchmarks.
 #[derive(Debug, Default)]
 pub struct NodeOptions {
@@ -74,9 +69,9 @@
             Some(listener) => listener,
             None => bind("peers", settings.me.peer_addr)?,
         };
-        let callers = bind("callers", settings.callers)?;
-        let endpoints = bind("endpoints", settings.endpoints)?;
-        let operators = bind("operators", settings.operators)?;
+        let callers = bind_http("callers", settings.callers)?;
+        let endpoints = bind_http("endpoints", settings.endpoints)?;
+        let operators = bind_http("operators", settings.operators)?;
         let listen_addrs = ListenAddrs {
             callers: callers.local_addr()?,
             endpoints: endpoints.local_addr()?,
@@ -111,9 +106,9 @@
         )?;
         let drained = start_core(shared.clone(), context, (listener, options.policy), inbox)?;
         let servers = vec![
-            serve(&shared, callers, Surface::Callers)?,
-            serve(&shared, endpoints, Surface::Endpoints)?,
-            serve(&shared, operators, Surface::Operators)?,
+            Server::start(&shared, callers, Surface::Callers)?,
+            Server::start(&shared, endpoints, Surface::Endpoints)?,
+            Server::start(&shared, operators, Surface::Operators)?,
         ];
         log::info!("node: Serving callers at {}.", listen_addrs.callers);
         Ok(Self {
@@ -139,7 +134,7 @@
         let _ = self.core.send(CoreMsg::Input(Input::Stop));
         let drained = self.drained.await;
         // A graceful stop writes the responses that are ready before connections close.
-        let stops = self.servers.iter().map(|server| server.stop(true));
+        let stops = self.servers.into_iter().map(Server::stop);
         futures_util::future::join_all(stops).await;
         drained.context("core: ended before the work in flight was complete")
     }
@@ -150,6 +145,11 @@
     listener.with_context(|| format!("{name}: cannot listen at {addr}; is it in use?"))
 }
 
+fn bind_http(name: &str, addr: std::net::SocketAddr) -> anyhow::Result<tokio::net::TcpListener> {
+    let listener = celerywinch_http::bind(addr);
+    listener.with_context(|| format!("{name}: cannot listen at {addr}; is it in use?"))
+}
+
 /// Starts the core thread. The receiver gets a message when a planned stop is complete.
 fn start_core(
     shared: Arc<Shared>,
@@ -265,33 +265,3 @@
     let keepers = settings.instances.iter().filter(|one| one.keeper);
     keepers.map(|one| one.id).collect()
 }
-
-/// The set of routes that a listener serves.
-#[derive(Clone, Copy)]
-enum Surface {
-    Callers,
-    Endpoints,
-    Operators,
-}
-
-fn serve(shared: &Arc<Shared>, listener: TcpListener, surface: Surface) -> anyhow::Result<Server> {
-    let threads = match surface {
-        Surface::Callers => shared.settings.http_threads,
-        Surface::Endpoints | Surface::Operators => 1,
-    };
-    let shared = shared.clone();
-    let server = HttpServer::new(async move || {
-        let configure = match surface {
-            Surface::Callers => http::callers,
-            Surface::Endpoints => http::endpoints,
-            Surface::Operators => http::operators,
-        };
-        App::new().state(shared.clone()).configure(configure)
-    });
-    let server = server.listen(listener).context("http: cannot listen")?;
-    Ok(server
-        .workers(threads)
-        .shutdown_timeout(SHUTDOWN_TIMEOUT)
-        .disable_signals()
-        .run())
-}
