Admission: close what is decided to be closed

Cause, three faults of the new code: the key of a new connection reused the slot of a closed one before the closing was carried out; what was closed before a refusal was dropped with the error; and the HTTP library keeps a closed connection, with all that is to be written, as long as its client reads nothing (by reading; the crowds alone do not tell it from the first fault). Found by the panic of a counter in the log of the debug build.

Change: actions wait in the state machine until the host takes them, which it does before it inserts the new connection. Connections are shut down by a second descriptor, and the limits count two for each.

--- a/crates/celerywinch_admission/src/admission.rs
+++ b/crates/celerywinch_admission/src/admission.rs
@@ -89,6 +89,8 @@
     open: Vec<usize>,
     /// The bytes that all connections take.
     used: u64,
+    /// What the host has to do and was not told yet.
+    actions: Vec<Action>,
     closed: BTreeMap<(Listener, CloseReason), u64>,
     /// What was closed since the last report.
     unreported: BTreeMap<(Listener, CloseReason), u64>,
@@ -107,6 +109,7 @@
             waiting: BTreeMap::new(),
             open,
             used: 0,
+            actions: Vec::new(),
             closed: BTreeMap::new(),
             unreported: BTreeMap::new(),
             reported_at: None,
@@ -176,29 +179,29 @@
         ))
     }
 
-    /// Admits a new connection. The actions make room for it.
+    /// Returns what the host has to do since the last call.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Admits a new connection, and closes others to make room for it.
     ///
     /// # Errors
     ///
     /// Returns an error if there is no room, since the requests of all other connections are being served.
-    pub fn open(
-        &mut self,
-        now: Time,
-        listener: Listener,
-    ) -> Result<(ConnectionKey, Vec<Action>), CloseReason> {
-        let mut actions = Vec::new();
+    pub fn open(&mut self, now: Time, listener: Listener) -> Result<ConnectionKey, CloseReason> {
         let limit = self.limits.listener(listener).connections;
         while self.open_connections(listener) >= limit {
             let Some(key) = self.longest_waiting(Some(listener)) else {
                 return Err(self.refused(listener, CloseReason::Connections));
             };
-            actions.push(self.evict(key, CloseReason::Connections));
+            self.evict(key, CloseReason::Connections);
         }
         while self.used + CONNECTION_BYTES > self.limits.memory {
             let Some(key) = self.longest_waiting(None) else {
                 return Err(self.refused(listener, CloseReason::Memory));
             };
-            actions.push(self.evict(key, CloseReason::Memory));
+            self.evict(key, CloseReason::Memory);
         }
         self.used += CONNECTION_BYTES;
         self.open[usize::from(listener.0)] += 1;
@@ -212,7 +215,7 @@
             .entry(Rank::Idle)
             .or_default()
             .insert((now, key));
-        Ok((key, actions))
+        Ok(key)
     }
 
     /// The head of a request has arrived. What was held for the answer before is released. Returns how long the connection
@@ -250,18 +253,12 @@
         });
     }
 
-    /// Takes memory for the body or the answer of a connection. The actions make room for it.
+    /// Takes memory for the body or the answer of a connection, and takes it from others to make room for it.
     ///
     /// # Errors
     ///
     /// Returns an error if there is no room. The request has to be refused.
-    pub fn take(
-        &mut self,
-        now: Time,
-        key: ConnectionKey,
-        bytes: u64,
-    ) -> Result<Vec<Action>, CloseReason> {
-        let mut actions = Vec::new();
+    pub fn take(&mut self, now: Time, key: ConnectionKey, bytes: u64) -> Result<(), CloseReason> {
         let Some(connection) = self.connections.get(key) else {
             return Err(CloseReason::Memory);
         };
@@ -270,10 +267,10 @@
             let Some(other) = self.next_to_relieve(key) else {
                 return Err(self.refused(listener, CloseReason::Memory));
             };
-            actions.push(self.relieve(now, other));
+            self.relieve(now, other);
         }
         self.update(key, |connection| connection.held += bytes);
-        Ok(actions)
+        Ok(())
     }
 
     /// The answer of `bytes` bytes is being sent; nothing else is held any longer.
@@ -291,8 +288,8 @@
         self.remove(key);
     }
 
-    /// Returns the connections that have waited too long for their clients.
-    pub fn expire(&mut self, now: Time) -> Vec<Action> {
+    /// Closes the connections that have waited too long for their clients.
+    pub fn expire(&mut self, now: Time) {
         let Timeouts { idle, body } = self.timeouts;
         let idle_limit = idle + IDLE_MARGIN;
         let waiting = self.waiting.values().flatten();
@@ -309,13 +306,12 @@
                 Some((*key, reason))
             })
             .collect();
-        let actions = expired
-            .into_iter()
-            .map(|(key, reason)| match self.connections[key].phase {
+        for (key, reason) in expired {
+            match self.connections[key].phase {
                 Phase::Body(_) => self.refuse(now, key, reason),
                 Phase::Ending | Phase::Idle | Phase::Served => self.evict(key, reason),
-            });
-        actions.collect()
+            }
+        }
     }
 
     /// Returns the connection that has waited for its client the longest, of one listener or of all.
@@ -343,31 +339,31 @@
     }
 
     /// Releases what a connection that waits for its client holds.
-    fn relieve(&mut self, now: Time, key: ConnectionKey) -> Action {
+    fn relieve(&mut self, now: Time, key: ConnectionKey) {
         match self.connections[key].phase {
             Phase::Body(_) => self.refuse(now, key, CloseReason::Memory),
             Phase::Idle | Phase::Served | Phase::Ending => self.evict(key, CloseReason::Memory),
         }
     }
 
-    fn refuse(&mut self, now: Time, key: ConnectionKey, reason: CloseReason) -> Action {
+    fn refuse(&mut self, now: Time, key: ConnectionKey, reason: CloseReason) {
         let listener = self.connections[key].listener;
         self.count_closed(listener, reason);
         self.update(key, |connection| {
             (connection.phase, connection.since) = (Phase::Ending, now);
             connection.held = 0;
         });
-        Action::Refuse(key, reason)
+        self.actions.push(Action::Refuse(key, reason));
     }
 
-    fn evict(&mut self, key: ConnectionKey, reason: CloseReason) -> Action {
+    fn evict(&mut self, key: ConnectionKey, reason: CloseReason) {
         if let Some(connection) = self.remove(key) {
             // A connection that was told to end is counted already.
             if connection.phase != Phase::Ending {
                 self.count_closed(connection.listener, reason);
             }
         }
-        Action::Close(key)
+        self.actions.push(Action::Close(key));
     }
 
     fn refused(&mut self, listener: Listener, reason: CloseReason) -> CloseReason {
--- a/crates/celerywinch_admission/src/lib.rs
+++ b/crates/celerywinch_admission/src/lib.rs
@@ -7,7 +7,7 @@
 //! answer within milliseconds, so it is hardly ever among them.
 //!
 //! [`Admission`] is a state machine without clock or socket. The host reports what happens on its connections and
-//! carries out the returned [`Action`]s.
+//! carries out the [`Action`]s that it takes from it.
 
 mod admission;
 mod limits;
--- a/crates/celerywinch_admission/src/limits.rs
+++ b/crates/celerywinch_admission/src/limits.rs
@@ -13,15 +13,15 @@
 /// One in this many bytes of memory is for connections of clients. The rest is for the state of the process, the requests
 /// that it is serving, and its links.
 const MEMORY_DIVISOR: u64 = 3;
-/// One in this many of the available descriptors is for the main listener. The rest is for other listeners, links, workers
-/// and files.
-const MAIN_DIVISOR: usize = 2;
-/// One in this many of the available descriptors is for a listener of peers.
+/// The available descriptors for each connection of the main listener. A connection has two descriptors, so half are for
+/// others: other listeners, links, workers and files.
+const MAIN_DIVISOR: usize = 4;
+/// The same for a listener of peers.
 const PEER_DIVISOR: usize = 8;
-/// One in this many of the available descriptors is for a listener with few clients.
-const MINOR_DIVISOR: usize = 16;
+/// The same for a listener with few clients.
+const MINOR_DIVISOR: usize = 32;
 /// The largest number of connections of a listener with few clients.
-const MAX_MINOR: usize = 64;
+const MAX_MINOR: usize = 32;
 /// The default of `Timeouts::body`.
 const BODY_TIMEOUT: Duration = Duration::from_secs(60);
 /// The default of `Timeouts::idle`, which is also the default of the operators' idle timeout.
--- a/crates/celerywinch_fleet/src/lib.rs
+++ b/crates/celerywinch_fleet/src/lib.rs
@@ -15,6 +15,7 @@
 mod journal;
 mod links;
 mod metrics;
+mod reads;
 mod store;
 
 pub use clock::Clock;
@@ -23,3 +24,4 @@
 pub use core::start;
 pub use directory::{AnnounceOutcome, WorkerDirectory};
 pub use handle::{Fleet, JobHandle, StopSchedule};
+pub use reads::ConfigReads;
--- a/crates/celerywinch_http/src/gate.rs
+++ b/crates/celerywinch_http/src/gate.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::future::poll_fn;
+use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
@@ -56,24 +57,41 @@
 
 struct State {
     admission: Admission,
-    streams: SecondaryMap<ConnectionKey, IoRef>,
+    streams: SecondaryMap<ConnectionKey, Stream>,
     keys: HashMap<IoRef, ConnectionKey>,
     bodies: SecondaryMap<ConnectionKey, Partial>,
     /// The closed connections that were published.
     published: BTreeMap<(Listener, CloseReason), u64>,
 }
 
+/// A connection as the server and as the operating system know it.
+struct Stream {
+    io: IoRef,
+    /// A second descriptor of the socket. The server keeps a connection that it ends for as long as the client reads
+    /// nothing; shutting the socket down ends that.
+    socket: TcpStream,
+}
+
+impl Stream {
+    fn close(&self) {
+        self.io.terminate();
+        if let Err(error) = self.socket.shutdown(Shutdown::Both) {
+            log::debug!("http: Cannot shut down a connection: {error}.");
+        }
+    }
+}
+
 impl State {
     /// Returns the number of connections that are being closed.
-    fn carry_out(&mut self, actions: Vec<Action>) -> usize {
+    fn carry_out(&mut self) -> usize {
         let mut closing = 0;
-        for action in actions {
+        for action in self.admission.take_actions() {
             match action {
                 Action::Close(key) => {
                     self.bodies.remove(key);
                     if let Some(stream) = self.streams.remove(key) {
-                        self.keys.remove(&stream);
-                        stream.terminate();
+                        self.keys.remove(&stream.io);
+                        stream.close();
                         closing += 1;
                     }
                 }
@@ -92,7 +110,7 @@
         self.admission.close(key);
         self.bodies.remove(key);
         let stream = self.streams.remove(key);
-        stream.is_some_and(|stream| self.keys.remove(&stream).is_some())
+        stream.is_some_and(|stream| self.keys.remove(&stream.io).is_some())
     }
 }
 
@@ -143,10 +161,9 @@
     }
 
     fn check(&self, metrics: &impl GateMetrics) {
+        self.with(|state, now| state.admission.expire(now));
         let now = self.now();
         let mut state = self.inner.state.borrow_mut();
-        let expired = state.admission.expire(now);
-        self.carry_out(&mut state, expired);
         let closed: Vec<_> = state.admission.closed().collect();
         for (listener, reason, count) in closed {
             let published = state.published.entry((listener, reason)).or_default();
@@ -178,13 +195,19 @@
     }
 
     /// Admits a connection. Returns `None` if it has to be closed.
-    pub(crate) fn open(&self, listener: Listener, stream: IoRef) -> Option<ConnectionKey> {
-        let now = self.now();
-        let mut state = self.inner.state.borrow_mut();
-        let (key, actions) = state.admission.open(now, listener).ok()?;
-        self.carry_out(&mut state, actions);
-        state.keys.insert(stream.clone(), key);
-        state.streams.insert(key, stream);
+    pub(crate) fn open(
+        &self,
+        listener: Listener,
+        io: IoRef,
+        socket: TcpStream,
+    ) -> Option<ConnectionKey> {
+        // The key may reuse the slot of a connection that is closed for this one.
+        let opened = self.with(|state, now| state.admission.open(now, listener));
+        let key = opened.ok()?;
+        self.with(|state, _| {
+            state.keys.insert(io.clone(), key);
+            state.streams.insert(key, Stream { io, socket });
+        });
         Some(key)
     }
 
@@ -207,11 +230,6 @@
         }
     }
 
-    fn carry_out(&self, state: &mut State, actions: Vec<Action>) {
-        let closing = state.carry_out(actions);
-        self.inner.lingering.update(|count| count + closing);
-    }
-
     /// Counts a connection that is closed because its head did not arrive in time.
     pub(crate) fn count_closed(&self, listener: Listener, reason: CloseReason) {
         let mut state = self.inner.state.borrow_mut();
@@ -236,8 +254,13 @@
         Time(0) + self.inner.start.elapsed()
     }
 
+    /// Changes the state, and carries out what follows from that.
     fn with<T>(&self, change: impl FnOnce(&mut State, Time) -> T) -> T {
-        change(&mut self.inner.state.borrow_mut(), self.now())
+        let mut state = self.inner.state.borrow_mut();
+        let result = change(&mut state, self.now());
+        let closing = state.carry_out();
+        self.inner.lingering.update(|count| count + closing);
+        result
     }
 }
 
@@ -347,8 +370,7 @@
         state.admission.progress(now, self.key);
         if growth > 0 {
             let taken = state.admission.take(now, self.key, growth as u64);
-            let actions = taken.map_err(BodyError::Refused)?;
-            self.gate.carry_out(state, actions);
+            taken.map_err(BodyError::Refused)?;
         }
         if let Some(body) = state.bodies.get_mut(self.key) {
             body.append(part, growth);
@@ -362,11 +384,8 @@
     ///
     /// Returns an error if there is too little. The request has to be refused.
     pub fn reserve(&self, bytes: usize) -> Result<(), CloseReason> {
-        self.gate.with(|state, now| {
-            let actions = state.admission.take(now, self.key, bytes as u64)?;
-            self.gate.carry_out(state, actions);
-            Ok(())
-        })
+        self.gate
+            .with(|state, now| state.admission.take(now, self.key, bytes as u64))
     }
 
     /// Reports that an answer with a body of `bytes` bytes is being sent.
--- a/crates/celerywinch_http/src/server.rs
+++ b/crates/celerywinch_http/src/server.rs
@@ -14,7 +14,7 @@
 use ntex::http::{HttpService, HttpServiceConfig, Request, Response, ResponseError, StatusCode};
 use ntex::io::{Base, Io};
 use ntex::service::cfg::SharedCfg;
-use ntex::service::{IntoServiceFactory, ServiceFactory, apply_fn_factory, fn_service};
+use ntex::service::{IntoServiceFactory, Pipeline, ServiceFactory, apply_fn_factory, fn_service};
 use ntex::time::Seconds;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
@@ -22,8 +22,6 @@
 
 /// The delay before the next accept after a failed one, such as when file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// How long an idle connection is kept open after an answer.
-const KEEP_ALIVE: Seconds = Seconds(1);
 /// The interval between checks whether all requests are answered after a stop.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// The number of connections that wait to be accepted.
@@ -34,7 +32,9 @@
 const DEFAULT_HEAD_BYTES: usize = 16 << 10;
 /// The time within which a head must arrive if operators set none.
 const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(3);
-/// The time after which an idle connection is closed if operators set none.
+/// How long a connection is kept open after an answer if the host sets nothing else.
+const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(5);
+/// The time for which a client may send or read nothing if operators set none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Limits on requests.
@@ -44,8 +44,10 @@
     pub head_bytes: usize,
     /// The time within which a head must arrive.
     pub head_timeout: Duration,
-    /// The time after which a connection that sends or reads nothing is closed.
+    /// The time for which a client may send no part of a body, or not read an answer.
     pub idle_timeout: Duration,
+    /// The time for which a connection is kept open after an answer.
+    pub keep_alive: Duration,
 }
 
 impl Default for HttpLimits {
@@ -54,6 +56,7 @@
             head_bytes: DEFAULT_HEAD_BYTES,
             head_timeout: DEFAULT_HEAD_TIMEOUT,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
+            keep_alive: DEFAULT_KEEP_ALIVE,
         }
     }
 }
@@ -76,7 +79,7 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the address cannot be bound or the HTTP service cannot be set up.
+/// Returns an error if the address cannot be bound.
 pub async fn serve<F, R>(
     addr: SocketAddr,
     gate: Gate,
@@ -102,8 +105,12 @@
             Ok(response)
         }
     });
-    let server = Server::new(socket, gate, listener, service).await?;
-    ntex::rt::spawn(server.run());
+    let server = Server::new(socket, gate, listener, service);
+    ntex::rt::spawn(async move {
+        if let Err(error) = server.run().await {
+            log::error!("http: Cannot serve {addr}: {error:#}.");
+        }
+    });
     Ok(())
 }
 
@@ -142,9 +149,9 @@
     });
     socket.set_nonblocking(true)?;
     let socket = TcpListener::from_std(socket)?;
-    let server = Server::new(socket, gate.clone(), Listener(0), app).await?;
+    let server = Server::new(socket, gate.clone(), Listener(0), app);
     tokio::select! {
-        () = server.run() => {}
+        served = server.run() => served?,
         () = stop => {}
     }
     let deadline = Instant::now() + grace;
@@ -182,14 +189,12 @@
 
 impl Server<()> {
     /// Creates the server of a service for requests.
-    async fn new<S, B>(
+    fn new<S, B>(
         socket: TcpListener,
         gate: Gate,
         listener: Listener,
         service: impl IntoServiceFactory<S, Request, SharedCfg>,
-    ) -> anyhow::Result<
-        Server<impl ServiceFactory<Io, SharedCfg, Response = (), Service: 'static> + 'static>,
-    >
+    ) -> Server<impl ServiceFactory<Io, SharedCfg, Response = (), Service: 'static> + 'static>
     where
         S: ServiceFactory<Request, SharedCfg> + 'static,
         S::Error: ResponseError,
@@ -206,12 +211,12 @@
                 async move { Ok::<_, io::Error>(message.ack()) }
             },
         ));
-        Ok(Server {
+        Server {
             socket,
             gate,
             listener,
             factory,
-        })
+        }
     }
 }
 
@@ -220,24 +225,18 @@
     F: ServiceFactory<Io, SharedCfg, Response = ()> + 'static,
     F::Service: 'static,
 {
-    /// Accepts connections for ever.
-    async fn run(self) {
+    /// Accepts connections. Ends only if the service cannot be set up.
+    async fn run(self) -> anyhow::Result<()> {
         let mut limits = self.gate.http_limits();
         let mut cfg = config(limits);
-        let Ok(mut pipeline) = self.factory.pipeline(cfg.clone()).await else {
-            log::error!("http: Cannot set up the service.");
-            return;
-        };
+        let mut pipeline = self.pipeline(&cfg).await?;
         loop {
             self.gate.settle().await;
-            let stream = accept(&self.socket).await;
+            let (stream, socket) = accept(&self.socket).await;
             if self.gate.http_limits() != limits {
                 limits = self.gate.http_limits();
                 cfg = config(limits);
-                match self.factory.pipeline(cfg.clone()).await {
-                    Ok(changed) => pipeline = changed,
-                    Err(_) => log::error!("http: Cannot apply changed limits."),
-                }
+                pipeline = self.pipeline(&cfg).await?;
             }
             let io = match ntex::rt::from_tcp_stream(stream, cfg.clone()) {
                 Ok(io) => io,
@@ -247,7 +246,7 @@
                 }
             };
             // Without room the connection is closed, so the client knows that nothing was run.
-            let Some(key) = self.gate.open(self.listener, io.get_ref()) else {
+            let Some(key) = self.gate.open(self.listener, io.get_ref(), socket) else {
                 continue;
             };
             let call = pipeline.call_static(io);
@@ -259,14 +258,19 @@
             });
         }
     }
+
+    async fn pipeline(&self, cfg: &SharedCfg) -> anyhow::Result<Pipeline<F::Service>> {
+        let pipeline = self.factory.pipeline(cfg.clone()).await;
+        pipeline.map_err(|_| anyhow::anyhow!("the HTTP service cannot be set up"))
+    }
 }
 
-/// Accepts the next connection that can be set up.
-async fn accept(listener: &TcpListener) -> std::net::TcpStream {
+/// Accepts the next connection that can be set up. Returns two descriptors of it.
+async fn accept(listener: &TcpListener) -> (std::net::TcpStream, std::net::TcpStream) {
     loop {
         let accepted = listener.accept().await;
         match accepted.and_then(|(stream, _)| prepare(stream)) {
-            Ok(stream) => return stream,
+            Ok(streams) => return streams,
             Err(error) => {
                 log::warn!("http: Cannot accept a connection: {error}.");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -275,9 +279,11 @@
     }
 }
 
-fn prepare(stream: TcpStream) -> io::Result<std::net::TcpStream> {
+fn prepare(stream: TcpStream) -> io::Result<(std::net::TcpStream, std::net::TcpStream)> {
     let _ = stream.set_nodelay(true);
-    stream.into_std()
+    let stream = stream.into_std()?;
+    let socket = stream.try_clone()?;
+    Ok((stream, socket))
 }
 
 /// Returns the configuration of a service with these limits.
@@ -287,7 +293,7 @@
         Seconds(u16::try_from(seconds).unwrap_or(u16::MAX))
     };
     let config = HttpServiceConfig::new()
-        .set_keepalive_timeout(KEEP_ALIVE)
+        .set_keepalive_timeout(seconds(limits.keep_alive))
         .set_client_timeout(seconds(limits.head_timeout))
         // A head of exactly the limit is complete before it is compared.
         .set_max_buf_size(limits.head_bytes + 1);
--- a/crates/celerywinch_links/src/unidentified.rs
+++ b/crates/celerywinch_links/src/unidentified.rs
@@ -43,15 +43,17 @@
     /// Admits a connection. Returns it, if there is room, and the number of connections that were closed to make room.
     pub(crate) fn open(&self) -> (Option<Admitted>, usize) {
         let mut state = self.state.borrow_mut();
-        let Ok((key, actions)) = state.admission.open(self.now(), LISTENER) else {
-            return (None, 1);
-        };
-        let (sender, closed) = oneshot::channel();
-        state.open.insert(key, sender);
+        let key = state.admission.open(self.now(), LISTENER);
+        let actions = state.admission.take_actions();
         for action in &actions {
             let (Action::Close(other) | Action::Refuse(other, _)) = action;
             state.open.remove(*other);
         }
+        let Ok(key) = key else {
+            return (None, actions.len() + 1);
+        };
+        let (sender, closed) = oneshot::channel();
+        state.open.insert(key, sender);
         (Some(Admitted { key, closed }), actions.len())
     }
 
--- a/crates/celerywinch_node/src/http/mod.rs
+++ b/crates/celerywinch_node/src/http/mod.rs
@@ -19,12 +19,19 @@
 /// The time after which a request for which there was no memory may be sent again, in ms.
 const MEMORY_RETRY_MS: u32 = 1_000;
 
+/// The number of copies of a body in the submission, in messages to other instances and in calls to endpoints.
+const BODY_COPIES: usize = 3;
+
 /// Reads a body of at most `limit` bytes.
 async fn read_body(request: &HttpRequest, payload: Payload, limit: usize) -> Result<Body, Problem> {
     let visit = request.extensions().get::<Visit>().cloned();
     // Absent if the connection was closed in the meantime.
     let visit = visit.ok_or_else(Problem::internal)?;
     let body = visit.read_payload(payload.into_inner(), limit).await;
+    let body = body.and_then(|body| {
+        let reserved = visit.reserve(BODY_COPIES * body.len());
+        reserved.map_err(BodyError::Refused).map(|()| body)
+    });
     body.map_err(|error| match error {
         BodyError::Incomplete => Problem::new(400, "body", "the body was cut off"),
         BodyError::TooLarge => Problem::new(413, "body", "the body is too long")
