--- a/crates/celerywinch_fleet/src/lib.rs
+++ b/crates/celerywinch_fleet/src/lib.rs
@@ -24,4 +24,4 @@
 pub use core::start;
 pub use directory::{AnnounceOutcome, WorkerDirectory};
 pub use handle::{Fleet, JobHandle, StopSchedule};
-pub use reads::ConfigReads;
+pub use reads::SharedReads;
--- a/crates/celerywinch_fleet/src/reads.rs
+++ b/crates/celerywinch_fleet/src/reads.rs
@@ -1,64 +1,72 @@
-//! Reads of the configuration that share their results.
+//! Reads that share their results.
 
 use std::cell::RefCell;
 use std::rc::Rc;
 
-use celerywinch_types::KeeperState;
 use futures_util::FutureExt;
 use futures_util::future::{LocalBoxFuture, Shared};
 use tokio::sync::Mutex;
 
-use crate::Fleet;
-
 /// A read that all who wait for it share.
-type SharedRead = Shared<LocalBoxFuture<'static, Option<Rc<KeeperState>>>>;
+type SharedRead<T> = Shared<LocalBoxFuture<'static, Option<Rc<T>>>>;
+
+/// Reads a state for any number of clients, such as the configuration, of which each client would otherwise have a copy
+/// under way.
+///
+/// One read is under way at a time. All clients that ask during it share the next one, which begins after they have asked,
+/// so none gets a state from before its request.
+pub struct SharedReads<T> {
+    inner: Rc<Inner<T>>,
+}
 
-/// Reads the newest configuration for any number of clients. One read is under way at a time; all clients that ask during
-/// it share the next one, which begins after they have asked, so none gets an older state than it may. Otherwise each
-/// client would have a copy of the document under way from the leader.
-#[derive(Clone)]
-pub struct ConfigReads {
-    inner: Rc<Inner>,
+impl<T> Clone for SharedReads<T> {
+    fn clone(&self) -> Self {
+        Self {
+            inner: self.inner.clone(),
+        }
+    }
 }
 
-struct Inner {
-    fleet: Fleet,
+struct Inner<T> {
+    source: Box<dyn Fn() -> LocalBoxFuture<'static, Option<T>>>,
     /// Held by the read that is under way.
     turn: Mutex<()>,
     /// The read that has not begun.
-    next: RefCell<Option<SharedRead>>,
+    next: RefCell<Option<SharedRead<T>>>,
 }
 
-impl ConfigReads {
-    /// Creates the reads of a process.
-    #[must_use]
-    pub fn new(fleet: Fleet) -> Self {
+impl<T: 'static> SharedReads<T> {
+    /// Creates reads from a source, which returns `None` if the state cannot be read.
+    pub fn new<F>(source: impl Fn() -> F + 'static) -> Self
+    where
+        F: Future<Output = Option<T>> + 'static,
+    {
         Self {
             inner: Rc::new(Inner {
-                fleet,
+                source: Box::new(move || source().boxed_local()),
                 turn: Mutex::new(()),
                 next: RefCell::new(None),
             }),
         }
     }
 
-    /// Reads the newest version and document. Returns `None` if the keepers did not confirm them in time.
-    pub async fn read(&self) -> Option<Rc<KeeperState>> {
+    /// Reads the state. Returns `None` if it cannot be read.
+    pub async fn read(&self) -> Option<Rc<T>> {
         let read = {
             let mut next = self.inner.next.borrow_mut();
-            next.get_or_insert_with(|| Inner::read(self.inner.clone()))
-                .clone()
+            let begin = || Inner::read(self.inner.clone());
+            next.get_or_insert_with(begin).clone()
         };
         read.await
     }
 }
 
-impl Inner {
-    fn read(self: Rc<Self>) -> SharedRead {
+impl<T: 'static> Inner<T> {
+    fn read(self: Rc<Self>) -> SharedRead<T> {
         let read = async move {
             let _turn = self.turn.lock().await;
             self.next.take();
-            self.fleet.read_config().await.map(Rc::new)
+            (self.source)().await.map(Rc::new)
         };
         read.boxed_local().shared()
     }
