Names: the limiter of connections, request handles, behaviours of clients

Change: names alone, in the new crates, their users and the tests of crowds; crowds and bounds are as they were.

--- a/crates/celerywinch_admission/src/admission.rs
+++ b/crates/celerywinch_admission/src/admission.rs
@@ -258,16 +258,21 @@
     /// # Errors
     ///
     /// Returns an error if there is no room. The request has to be refused.
-    pub fn take(&mut self, now: Time, key: ConnectionKey, bytes: u64) -> Result<(), CloseReason> {
+    pub fn reserve(
+        &mut self,
+        now: Time,
+        key: ConnectionKey,
+        bytes: u64,
+    ) -> Result<(), CloseReason> {
         let Some(connection) = self.connections.get(key) else {
             return Err(CloseReason::Memory);
         };
         let listener = connection.listener;
         while self.used + bytes > self.limits.memory {
-            let Some(other) = self.next_to_relieve(key) else {
+            let Some(other) = self.next_to_release(key) else {
                 return Err(self.refused(listener, CloseReason::Memory));
             };
-            self.relieve(now, other);
+            self.release_memory(now, other);
         }
         self.update(key, |connection| connection.held += bytes);
         Ok(())
@@ -329,7 +334,7 @@
     }
 
     /// Returns the connection other than `key` whose memory is released first.
-    fn next_to_relieve(&self, key: ConnectionKey) -> Option<ConnectionKey> {
+    fn next_to_release(&self, key: ConnectionKey) -> Option<ConnectionKey> {
         [Rank::Holding, Rank::Ending, Rank::Idle]
             .iter()
             .filter_map(|rank| self.waiting.get(rank))
@@ -339,7 +344,7 @@
     }
 
     /// Releases what a connection that waits for its client holds.
-    fn relieve(&mut self, now: Time, key: ConnectionKey) {
+    fn release_memory(&mut self, now: Time, key: ConnectionKey) {
         match self.connections[key].phase {
             Phase::Body(_) => self.refuse(now, key, CloseReason::Memory),
             Phase::Idle | Phase::Served | Phase::Ending => self.evict(key, CloseReason::Memory),
--- a/crates/celerywinch_admission/tests/admission.rs
+++ b/crates/celerywinch_admission/tests/admission.rs
@@ -130,10 +130,10 @@
         admission.begin_body(second(at), key);
     }
     let half = admission.limits().memory() / 2 - BODY;
-    assert_eq!(admission.take(second(20), keys[0], half), Ok(()));
-    assert_eq!(admission.take(second(20), keys[1], half), Ok(()));
+    assert_eq!(admission.reserve(second(20), keys[0], half), Ok(()));
+    assert_eq!(admission.reserve(second(20), keys[1], half), Ok(()));
     assert_eq!(admission.take_actions(), []);
-    assert_eq!(admission.take(second(21), keys[2], 3 * BODY), Ok(()));
+    assert_eq!(admission.reserve(second(21), keys[2], 3 * BODY), Ok(()));
     let refused = Action::Refuse(keys[1], CloseReason::Memory);
     assert_eq!(admission.take_actions(), [refused]);
 }
@@ -147,7 +147,7 @@
         admission.begin_request(second(round), key);
         admission.begin_body(second(round), key);
         let most = admission.limits().memory() - admission.used_memory();
-        assert_eq!(admission.take(second(round), key, most), Ok(()));
+        assert_eq!(admission.reserve(second(round), key, most), Ok(()));
         admission.end_body(second(round), key);
         admission.close(key);
         assert_eq!(admission.used_memory(), 0);
@@ -161,9 +161,9 @@
     let keys = open_all(&mut admission, 2);
     admission.begin_request(second(3), keys[0]);
     let most = admission.limits().memory() - admission.used_memory();
-    assert_eq!(admission.take(second(3), keys[0], most), Ok(()));
+    assert_eq!(admission.reserve(second(3), keys[0], most), Ok(()));
     admission.begin_body(second(4), keys[1]);
-    let refused = admission.take(second(4), keys[1], 1);
+    let refused = admission.reserve(second(4), keys[1], 1);
     assert_eq!(refused, Err(CloseReason::Memory));
 }
 
@@ -238,7 +238,7 @@
                 0 | 1 => keys.extend(admission.open(now, MAIN)),
                 2 => drop(admission.begin_request(now, key)),
                 3 => admission.begin_body(now, key),
-                4 => drop(admission.take(now, key, bytes)),
+                4 => drop(admission.reserve(now, key, bytes)),
                 5 => admission.answer(now, key, 0),
                 _ => {
                     admission.close(key);
--- a/crates/celerywinch_http/src/body.rs
+++ b/crates/celerywinch_http/src/body.rs
@@ -34,7 +34,7 @@
     }
 }
 
-/// The part of a body that has arrived. It is kept by the gate, which can discard it at any time.
+/// The part of a body that has arrived. It is kept by the limiter, which can discard it at any time.
 #[derive(Debug, Default)]
 pub(crate) struct Partial {
     pub(crate) bytes: Body,
--- a/crates/celerywinch_http/src/gate.rs
+++ b/crates/celerywinch_http/src/limiter.rs
@@ -29,8 +29,8 @@
 const MAX_SETTLE_ROUNDS: usize = 100;
 const SETTLE_PAUSE: Duration = Duration::from_millis(1);
 
-/// Where the numbers of a gate are published, every second.
-pub trait GateMetrics: 'static {
+/// Where the numbers of a limiter are published, every second.
+pub trait LimiterMetrics: 'static {
     /// The number of open connections of a listener, and its limit.
     fn connections(&self, limit: &ListenerLimit, open: usize);
 
@@ -43,7 +43,7 @@
 
 /// The connections of all servers on a thread. All clones share them.
 #[derive(Clone)]
-pub struct Gate {
+pub struct Limiter {
     inner: Rc<Inner>,
 }
 
@@ -114,8 +114,8 @@
     }
 }
 
-impl Gate {
-    /// Creates a gate without connections.
+impl Limiter {
+    /// Creates a limiter without connections.
     #[must_use]
     pub fn new(limits: Limits) -> Self {
         let state = State {
@@ -137,7 +137,7 @@
 
     /// Closes connections that have waited too long, and publishes the numbers, until the process ends. `limits` returns
     /// the limits in force, and is called every second.
-    pub async fn run(self, limits: impl Fn() -> HttpLimits, metrics: impl GateMetrics) {
+    pub async fn run(self, limits: impl Fn() -> HttpLimits, metrics: impl LimiterMetrics) {
         loop {
             self.set_limits(limits());
             self.check(&metrics);
@@ -160,7 +160,7 @@
         state.admission.set_timeouts(timeouts);
     }
 
-    fn check(&self, metrics: &impl GateMetrics) {
+    fn check(&self, metrics: &impl LimiterMetrics) {
         self.with(|state, now| state.admission.expire(now));
         let now = self.now();
         let mut state = self.inner.state.borrow_mut();
@@ -238,13 +238,13 @@
 
     /// Begins to serve a request. Returns `None` if its connection was closed in the meantime.
     #[must_use]
-    pub(crate) fn visit(&self, request: &Request) -> Option<Visit> {
+    pub(crate) fn begin_request(&self, request: &Request) -> Option<RequestHandle> {
         let now = self.now();
         let mut state = self.inner.state.borrow_mut();
         let key = *state.keys.get(request.io()?)?;
         let waited = state.admission.begin_request(now, key);
-        Some(Visit {
-            gate: self.clone(),
+        Some(RequestHandle {
+            limiter: self.clone(),
             key,
             pipelined: waited < MIN_REQUEST_GAP,
         })
@@ -266,13 +266,13 @@
 
 /// A request that is being served.
 #[derive(Clone)]
-pub struct Visit {
-    gate: Gate,
+pub struct RequestHandle {
+    limiter: Limiter,
     key: ConnectionKey,
     pipelined: bool,
 }
 
-impl Visit {
+impl RequestHandle {
     /// Lets the requests of other connections go first if the client did not wait for its last answer.
     pub(crate) async fn wait_for_turn(&self) {
         if self.pipelined {
@@ -303,12 +303,12 @@
         mut payload: Payload,
         limit: usize,
     ) -> Result<Body, BodyError> {
-        self.gate.with(|state, now| {
+        self.limiter.with(|state, now| {
             state.admission.begin_body(now, self.key);
             state.bodies.insert(self.key, Partial::default());
         });
         let result = self.receive(&mut payload, limit).await;
-        self.gate.with(|state, now| {
+        self.limiter.with(|state, now| {
             let body = state.bodies.remove(self.key).unwrap_or_default();
             if result.is_ok() {
                 state.admission.end_body(now, self.key);
@@ -321,18 +321,18 @@
     async fn receive(&self, payload: &mut Payload, limit: usize) -> Result<(), BodyError> {
         loop {
             let part = poll_fn(|cx| {
-                if let Some(reason) = self.gate.with(|state, _| self.refusal(state)) {
+                if let Some(reason) = self.limiter.with(|state, _| self.refusal(state)) {
                     return Poll::Ready(Err(BodyError::Refused(reason)));
                 }
                 let part = payload.poll_recv(cx);
                 if part.is_pending() {
-                    self.gate.with(|state, _| self.await_part(state, cx));
+                    self.limiter.with(|state, _| self.await_part(state, cx));
                 }
                 part.map(Ok)
             });
             match part.await? {
                 Some(Ok(part)) => self
-                    .gate
+                    .limiter
                     .with(|state, now| self.append(state, now, &part, limit))?,
                 Some(Err(_)) => return Err(BodyError::Incomplete),
                 None => return Ok(()),
@@ -369,7 +369,7 @@
         let growth = body.growth(part.len(), limit);
         state.admission.progress(now, self.key);
         if growth > 0 {
-            let taken = state.admission.take(now, self.key, growth as u64);
+            let taken = state.admission.reserve(now, self.key, growth as u64);
             taken.map_err(BodyError::Refused)?;
         }
         if let Some(body) = state.bodies.get_mut(self.key) {
@@ -384,13 +384,13 @@
     ///
     /// Returns an error if there is too little. The request has to be refused.
     pub fn reserve(&self, bytes: usize) -> Result<(), CloseReason> {
-        self.gate
-            .with(|state, now| state.admission.take(now, self.key, bytes as u64))
+        self.limiter
+            .with(|state, now| state.admission.reserve(now, self.key, bytes as u64))
     }
 
     /// Reports that an answer with a body of `bytes` bytes is being sent.
     pub(crate) fn answer(&self, bytes: usize) {
-        self.gate
+        self.limiter
             .with(|state, now| state.admission.answer(now, self.key, bytes as u64));
     }
 }
--- a/crates/celerywinch_http/src/server.rs
+++ b/crates/celerywinch_http/src/server.rs
@@ -18,7 +18,7 @@
 use ntex::time::Seconds;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
-use crate::{Gate, Visit};
+use crate::{Limiter, RequestHandle};
 
 /// The delay before the next accept after a failed one, such as when file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -82,30 +82,30 @@
 /// Returns an error if the address cannot be bound.
 pub async fn serve<F, R>(
     addr: SocketAddr,
-    gate: Gate,
+    limiter: Limiter,
     listener: Listener,
     handler: F,
 ) -> anyhow::Result<()>
 where
-    F: Fn(Request, Visit) -> R + Clone + 'static,
+    F: Fn(Request, RequestHandle) -> R + Clone + 'static,
     R: Future<Output = Response> + 'static,
 {
     let socket = bind(addr).with_context(|| format!("cannot listen on {addr}"))?;
-    let visits = gate.clone();
+    let requests = limiter.clone();
     let service = fn_service(move |request: Request| {
-        let (gate, handler) = (visits.clone(), handler.clone());
+        let (limiter, handler) = (requests.clone(), handler.clone());
         async move {
             // A connection that was closed in the meantime gets no answer.
-            let Some(visit) = gate.visit(&request) else {
+            let Some(handle) = limiter.begin_request(&request) else {
                 return Ok::<_, Never>(Response::new(StatusCode::SERVICE_UNAVAILABLE));
             };
-            visit.wait_for_turn().await;
-            let response = handler(request, visit.clone()).await;
-            visit.answer(body_bytes(&response));
+            handle.wait_for_turn().await;
+            let response = handler(request, handle.clone()).await;
+            handle.answer(body_bytes(&response));
             Ok(response)
         }
     });
-    let server = Server::new(socket, gate, listener, service);
+    let server = Server::new(socket, limiter, listener, service);
     ntex::rt::spawn(async move {
         if let Err(error) = server.run().await {
             log::error!("http: Cannot serve {addr}: {error:#}.");
@@ -115,14 +115,14 @@
 }
 
 /// Serves an application until `stop` completes, and then until the requests that are being served are answered, for at
-/// most `grace`. The application's requests have a [`Visit`] among their extensions.
+/// most `grace`. The application's requests have a [`RequestHandle`] among their extensions.
 ///
 /// # Errors
 ///
 /// Returns an error if the listener cannot be used or the HTTP service cannot be set up.
 pub async fn serve_app<S, B>(
     socket: std::net::TcpListener,
-    gate: Gate,
+    limiter: Limiter,
     app: impl IntoServiceFactory<S, Request, SharedCfg>,
     stop: impl Future<Output = ()>,
     grace: Duration,
@@ -134,28 +134,28 @@
     S::Response: Into<Response<B>>,
     B: MessageBody + 'static,
 {
-    let visits = gate.clone();
+    let requests = limiter.clone();
     let app = apply_fn_factory(app, async move |request: Request, app| {
-        let visit = visits.visit(&request);
-        if let Some(visit) = visit.clone() {
-            visit.wait_for_turn().await;
-            request.head().extensions_mut().insert(visit);
+        let handle = requests.begin_request(&request);
+        if let Some(handle) = handle.clone() {
+            handle.wait_for_turn().await;
+            request.head().extensions_mut().insert(handle);
         }
         let response: Response<B> = app.call(request).await?.into();
-        if let Some(visit) = visit {
-            visit.answer(body_bytes(&response));
+        if let Some(handle) = handle {
+            handle.answer(body_bytes(&response));
         }
         Ok::<_, S::Error>(response)
     });
     socket.set_nonblocking(true)?;
     let socket = TcpListener::from_std(socket)?;
-    let server = Server::new(socket, gate.clone(), Listener(0), app);
+    let server = Server::new(socket, limiter.clone(), Listener(0), app);
     tokio::select! {
         served = server.run() => served?,
         () = stop => {}
     }
     let deadline = Instant::now() + grace;
-    while gate.is_serving() && Instant::now() < deadline {
+    while limiter.is_serving() && Instant::now() < deadline {
         tokio::time::sleep(STOP_POLL_INTERVAL).await;
     }
     Ok(())
@@ -182,7 +182,7 @@
 /// A listener and the factory of the services for its connections.
 struct Server<F> {
     socket: TcpListener,
-    gate: Gate,
+    limiter: Limiter,
     listener: Listener,
     factory: F,
 }
@@ -191,7 +191,7 @@
     /// Creates the server of a service for requests.
     fn new<S, B>(
         socket: TcpListener,
-        gate: Gate,
+        limiter: Limiter,
         listener: Listener,
         service: impl IntoServiceFactory<S, Request, SharedCfg>,
     ) -> Server<impl ServiceFactory<Io, SharedCfg, Response = (), Service: 'static> + 'static>
@@ -202,7 +202,7 @@
         S::Response: Into<Response<B>>,
         B: MessageBody + 'static,
     {
-        let counts = gate.clone();
+        let counts = limiter.clone();
         let factory = HttpService::h1(service).control(fn_service(
             move |message: Control<Base, S::Error>| {
                 if is_refused_head(&message) {
@@ -213,7 +213,7 @@
         ));
         Server {
             socket,
-            gate,
+            limiter,
             listener,
             factory,
         }
@@ -227,14 +227,14 @@
 {
     /// Accepts connections. Ends only if the service cannot be set up.
     async fn run(self) -> anyhow::Result<()> {
-        let mut limits = self.gate.http_limits();
+        let mut limits = self.limiter.http_limits();
         let mut cfg = config(limits);
         let mut pipeline = self.pipeline(&cfg).await?;
         loop {
-            self.gate.settle().await;
+            self.limiter.settle().await;
             let (stream, socket) = accept(&self.socket).await;
-            if self.gate.http_limits() != limits {
-                limits = self.gate.http_limits();
+            if self.limiter.http_limits() != limits {
+                limits = self.limiter.http_limits();
                 cfg = config(limits);
                 pipeline = self.pipeline(&cfg).await?;
             }
@@ -246,15 +246,15 @@
                 }
             };
             // Without room the connection is closed, so the client knows that nothing was run.
-            let Some(key) = self.gate.open(self.listener, io.get_ref(), socket) else {
+            let Some(key) = self.limiter.open(self.listener, io.get_ref(), socket) else {
                 continue;
             };
             let call = pipeline.call_static(io);
-            let gate = self.gate.clone();
+            let limiter = self.limiter.clone();
             ntex::rt::spawn(async move {
                 // A broken connection is left to the client to handle.
                 let _ = call.await;
-                gate.close(key);
+                limiter.close(key);
             });
         }
     }
--- a/crates/celerywinch_node/src/http/mod.rs
+++ b/crates/celerywinch_node/src/http/mod.rs
@@ -12,7 +12,7 @@
 pub(crate) use operators::configure as operators;
 pub(crate) use problem::Problem;
 
-use celerywinch_http::{Body, BodyError, Visit};
+use celerywinch_http::{Body, BodyError, RequestHandle};
 use ntex::web::HttpRequest;
 use ntex::web::types::Payload;
 
@@ -24,12 +24,12 @@
 
 /// Reads a body of at most `limit` bytes.
 async fn read_body(request: &HttpRequest, payload: Payload, limit: usize) -> Result<Body, Problem> {
-    let visit = request.extensions().get::<Visit>().cloned();
+    let handle = request.extensions().get::<RequestHandle>().cloned();
     // Absent if the connection was closed in the meantime.
-    let visit = visit.ok_or_else(Problem::internal)?;
-    let body = visit.read_payload(payload.into_inner(), limit).await;
+    let handle = handle.ok_or_else(Problem::internal)?;
+    let body = handle.read_payload(payload.into_inner(), limit).await;
     let body = body.and_then(|body| {
-        let reserved = visit.reserve(BODY_COPIES * body.len());
+        let reserved = handle.reserve(BODY_COPIES * body.len());
         reserved.map_err(BodyError::Refused).map(|()| body)
     });
     body.map_err(|error| match error {
--- a/crates/celerywinch_node/src/resources.rs
+++ b/crates/celerywinch_node/src/resources.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 
-use celerywinch_http::{CloseReason, GateMetrics, LimitsBuilder, ListenerLimit};
+use celerywinch_http::{CloseReason, LimiterMetrics, LimitsBuilder, ListenerLimit};
 use rustix::process::{Resource, getrlimit};
 use rustix::system::sysinfo;
 
@@ -46,7 +46,7 @@
     }
 }
 
-impl GateMetrics for ClientMetrics {
+impl LimiterMetrics for ClientMetrics {
     fn connections(&self, limit: &ListenerLimit, open: usize) {
         let open = i64::try_from(open).unwrap_or(i64::MAX);
         let gauge = &self.metrics.client_connections;
--- a/crates/celerywinch_node/src/servers.rs
+++ b/crates/celerywinch_node/src/servers.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use celerywinch_http::{Gate, HttpLimits, Share, serve_app};
+use celerywinch_http::{HttpLimits, Limiter, Share, serve_app};
 use ntex::rt::Arbiter;
 use ntex::web::App;
 use tokio::net::TcpListener;
@@ -64,9 +64,9 @@
             let arbiter = Arbiter::with_name(format!("{name}-{index}"));
             arbiter.handle().spawn(async move {
                 ntex::rt::spawn(async move {
-                    let gate = Gate::new(limits);
+                    let limiter = Limiter::new(limits);
                     let metrics = ClientMetrics::new(shared.metrics.clone());
-                    ntex::rt::spawn(gate.clone().run(HttpLimits::default, metrics));
+                    ntex::rt::spawn(limiter.clone().run(HttpLimits::default, metrics));
                     let configure = match surface {
                         Surface::Callers => http::callers,
                         Surface::Endpoints => http::endpoints,
@@ -77,7 +77,7 @@
                         // Fails only if the process ends.
                         let _ = stopping.wait_for(|stopping| *stopping).await;
                     };
-                    let served = serve_app(listener, gate, app, stop, SHUTDOWN_TIMEOUT).await;
+                    let served = serve_app(listener, limiter, app, stop, SHUTDOWN_TIMEOUT).await;
                     if let Err(error) = served {
                         log::error!("http: Cannot serve {name}: {error:#}.");
                     }
--- a/crates/celerywinchd/tests/crowds.rs
+++ b/crates/celerywinchd/tests/crowds.rs
@@ -64,7 +64,7 @@
 
 /// What each client of a crowd does before it only keeps its connection open.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Conduct {
+enum Behaviour {
     /// Sends a body at once, most without the end.
     Whole,
     /// Sends a body piece by piece, most without the end.
@@ -85,34 +85,34 @@
 
 struct Case {
     surface: Surface,
-    conduct: Conduct,
+    behaviour: Behaviour,
 }
 
-const fn case(surface: Surface, conduct: Conduct) -> Case {
-    Case { surface, conduct }
+const fn case(surface: Surface, behaviour: Behaviour) -> Case {
+    Case { surface, behaviour }
 }
 
 /// Guards against an instance that runs out of memory or descriptors because of clients that stop just short of the end of
 /// their requests, or that read nothing, and stay.
 #[rstest]
-#[case::whole_submissions(case(Surface::Callers, Conduct::Whole))]
-#[case::submissions_in_pieces(case(Surface::Callers, Conduct::Pieces))]
-#[case::submissions_in_large_chunks(case(Surface::Callers, Conduct::LargeChunks))]
-#[case::submissions_in_small_chunks(case(Surface::Callers, Conduct::SmallChunks))]
-#[case::heads_of_callers(case(Surface::Callers, Conduct::Head))]
-#[case::heads_of_endpoints(case(Surface::Endpoints, Conduct::Head))]
-#[case::heads_of_operators(case(Surface::Operators, Conduct::Head))]
-#[case::heads_of_peers(case(Surface::Peers, Conduct::Head))]
-#[case::silent_callers(case(Surface::Callers, Conduct::Silent))]
-#[case::silent_endpoints(case(Surface::Endpoints, Conduct::Silent))]
-#[case::silent_operators(case(Surface::Operators, Conduct::Silent))]
-#[case::silent_peers(case(Surface::Peers, Conduct::Silent))]
-#[case::pipelined_by_callers(case(Surface::Callers, Conduct::Pipelined))]
-#[case::pipelined_by_endpoints(case(Surface::Endpoints, Conduct::Pipelined))]
-#[case::pipelined_by_operators(case(Surface::Operators, Conduct::Pipelined))]
-#[case::pipelined_by_peers(case(Surface::Peers, Conduct::Pipelined))]
-#[case::peers_without_a_request(case(Surface::Peers, Conduct::Preface))]
-fn crowd_is_borne(#[case] case: Case) {
+#[case::whole_submissions(case(Surface::Callers, Behaviour::Whole))]
+#[case::submissions_in_pieces(case(Surface::Callers, Behaviour::Pieces))]
+#[case::submissions_in_large_chunks(case(Surface::Callers, Behaviour::LargeChunks))]
+#[case::submissions_in_small_chunks(case(Surface::Callers, Behaviour::SmallChunks))]
+#[case::heads_of_callers(case(Surface::Callers, Behaviour::Head))]
+#[case::heads_of_endpoints(case(Surface::Endpoints, Behaviour::Head))]
+#[case::heads_of_operators(case(Surface::Operators, Behaviour::Head))]
+#[case::heads_of_peers(case(Surface::Peers, Behaviour::Head))]
+#[case::silent_callers(case(Surface::Callers, Behaviour::Silent))]
+#[case::silent_endpoints(case(Surface::Endpoints, Behaviour::Silent))]
+#[case::silent_operators(case(Surface::Operators, Behaviour::Silent))]
+#[case::silent_peers(case(Surface::Peers, Behaviour::Silent))]
+#[case::pipelined_by_callers(case(Surface::Callers, Behaviour::Pipelined))]
+#[case::pipelined_by_endpoints(case(Surface::Endpoints, Behaviour::Pipelined))]
+#[case::pipelined_by_operators(case(Surface::Operators, Behaviour::Pipelined))]
+#[case::pipelined_by_peers(case(Surface::Peers, Behaviour::Pipelined))]
+#[case::peers_without_a_request(case(Surface::Peers, Behaviour::Preface))]
+fn limits_hold_beside_crowd(#[case] case: Case) {
     let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
     run_test(run(case));
 }
@@ -134,9 +134,11 @@
         target.peer_addr,
     ];
     let sampler = Sampler::start(pid, BTreeSet::from(surfaces));
-    let clients = match case.conduct {
-        Conduct::Whole | Conduct::Pieces | Conduct::LargeChunks | Conduct::SmallChunks => SENDERS,
-        Conduct::Head | Conduct::Silent | Conduct::Pipelined | Conduct::Preface => HOLDERS,
+    let clients = match case.behaviour {
+        Behaviour::Whole | Behaviour::Pieces | Behaviour::LargeChunks | Behaviour::SmallChunks => {
+            SENDERS
+        }
+        Behaviour::Head | Behaviour::Silent | Behaviour::Pipelined | Behaviour::Preface => HOLDERS,
     };
     let mut answered = Vec::new();
     for _ in 0..ROUNDS {
@@ -158,7 +160,7 @@
     let most = sampler.finish();
     println!(
         "{:?} {:?}: {most:?}, {answered:?}",
-        case.surface, case.conduct
+        case.surface, case.behaviour
     );
     assert!(!cluster.processes[0].has_ended(), "the process has ended");
     assert!(
@@ -223,36 +225,38 @@
 /// Returns what a client of a crowd sends.
 fn script(case: &Case, client: usize) -> Script {
     let peers = case.surface == Surface::Peers;
-    match case.conduct {
-        Conduct::Silent => Script::default(),
-        Conduct::Preface => Script::new(&http2::preface(), usize::MAX, Duration::ZERO),
-        Conduct::Head if peers => Script::new(&http2::endless_head(), PIECE_BYTES, Duration::ZERO),
-        Conduct::Pipelined if peers => {
+    match case.behaviour {
+        Behaviour::Silent => Script::default(),
+        Behaviour::Preface => Script::new(&http2::preface(), usize::MAX, Duration::ZERO),
+        Behaviour::Head if peers => {
+            Script::new(&http2::endless_head(), PIECE_BYTES, Duration::ZERO)
+        }
+        Behaviour::Pipelined if peers => {
             Script::new(&http2::requests(PIPELINED), usize::MAX, Duration::ZERO)
         }
-        Conduct::Head => Script {
+        Behaviour::Head => Script {
             drip: Some(b'x'),
             ..Script::new(&endless_head(HOST, "/healthz"), PIECE_BYTES, Duration::ZERO)
         },
-        Conduct::Pipelined => {
+        Behaviour::Pipelined => {
             let request = match case.surface {
                 Surface::Operators => operator_request("/metrics"),
                 _ => request(HOST, "GET", "/healthz", b""),
             };
             Script::new(&request.repeat(PIPELINED), PIECE_BYTES, Duration::ZERO)
         }
-        Conduct::Whole | Conduct::Pieces | Conduct::LargeChunks | Conduct::SmallChunks => {
-            body_script(case.conduct, client)
+        Behaviour::Whole | Behaviour::Pieces | Behaviour::LargeChunks | Behaviour::SmallChunks => {
+            body_script(case.behaviour, client)
         }
     }
 }
 
-fn body_script(conduct: Conduct, client: usize) -> Script {
+fn body_script(behaviour: Behaviour, client: usize) -> Script {
     let body = submission(BODY_BYTES);
     let key = generate_key(None);
-    let chunk = match conduct {
-        Conduct::LargeChunks => Some(LARGE_CHUNK_BYTES),
-        Conduct::SmallChunks => Some(SMALL_CHUNK_BYTES),
+    let chunk = match behaviour {
+        Behaviour::LargeChunks => Some(LARGE_CHUNK_BYTES),
+        Behaviour::SmallChunks => Some(SMALL_CHUNK_BYTES),
         _ => None,
     };
     let (mut bytes, end) = if let Some(length) = chunk {
@@ -268,8 +272,8 @@
     if client.is_multiple_of(COMPLETE_INTERVAL) {
         bytes.extend(end);
     }
-    match conduct {
-        Conduct::Pieces => Script::new(&bytes, PIECE_BYTES, PIECE_PAUSE),
+    match behaviour {
+        Behaviour::Pieces => Script::new(&bytes, PIECE_BYTES, PIECE_PAUSE),
         _ => Script::new(&bytes, usize::MAX, Duration::ZERO),
     }
 }
