Limiter: shut a connection down when it ends, and wait longer for those that were closed

Cause, suspected: the HTTP library ends a connection after a second of trying to write and keeps its descriptor as long as the client reads nothing; and accepting went on after 0.1 s although closed connections had not ended. Change: the socket is shut down when its connection has ended, and accepting waits for up to 2 s.

--- a/crates/celerywinch_http/src/limiter.rs
+++ b/crates/celerywinch_http/src/limiter.rs
@@ -23,10 +23,10 @@
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// The time from an answer to the next request of a client that reads the answer first, at least.
 const MIN_REQUEST_GAP: Duration = Duration::from_micros(100);
-/// The largest number of closed connections that still have their descriptors while others are accepted.
+/// The largest number of closed connections that have not ended while others are accepted.
 const MAX_LINGERING: usize = 8;
-/// How often, and with which pause, it is checked whether they have released them.
-const MAX_SETTLE_ROUNDS: usize = 100;
+/// How often, and with which pause, it is checked whether closed connections have ended.
+const MAX_SETTLE_ROUNDS: usize = 2_000;
 const SETTLE_PAUSE: Duration = Duration::from_millis(1);
 
 /// Where the numbers of a limiter are published, every second.
@@ -109,8 +109,13 @@
     fn forget(&mut self, key: ConnectionKey) -> bool {
         self.admission.close(key);
         self.bodies.remove(key);
-        let stream = self.streams.remove(key);
-        stream.is_some_and(|stream| self.keys.remove(&stream.io).is_some())
+        let Some(stream) = self.streams.remove(key) else {
+            return false;
+        };
+        self.keys.remove(&stream.io);
+        // What the client has not read by now would keep the descriptor.
+        stream.close();
+        true
     }
 }
 
@@ -219,8 +224,7 @@
         }
     }
 
-    /// Waits until most connections that were closed have released their descriptors, so that no more are accepted than
-    /// the descriptors allow.
+    /// Waits until most connections that were closed have ended, so that no more are accepted than the descriptors allow.
     pub(crate) async fn settle(&self) {
         for _ in 0..MAX_SETTLE_ROUNDS {
             if self.inner.lingering.get() <= MAX_LINGERING {
